Judge a bundled call by the first outcome that tells of it

A call with several messages was judged once, by whichever outcome came first. Where that message was over (410) or had run out of its own time, the call counted for nothing or as a time-out: its destination was not seen to succeed, so its pace stayed low, or its window was halved, while nine others had been delivered.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -233,9 +233,12 @@
             # Heeded for each message: those of one batched call were told different waits. A told wait comes
             # in cut milliseconds, so one more keeps a send from falling just inside its end.
             ep.lane.wait_until = max(ep.lane.wait_until, self.now + e.retry_after_us + 1_000)
-        if not call.judged:
+        # A message of a bundle that was over, or whose own time was up first, says nothing of its call.
+        silent = e.result in (Result.CANCELLED, Result.MOOT)
+        silent = silent or call.left > 0 and e.result in (Result.TIMEOUT, Result.CONNECT_FAILED)
+        if not call.judged and not silent:
             call.judged = True
-            if e.result not in (Result.FULL, Result.MOOT):
+            if e.result is not Result.FULL:
                 ep.lane.hold += (e.latency_us - ep.lane.hold) / 8
                 self.health.hold += (e.latency_us - self.health.hold) / 32
             if not e.spoilt or self.now - ep.last_ok > SPELL_US:  # a spoilt answer is no trouble by itself
--- a/hopmill/health.py
+++ b/hopmill/health.py
@@ -141,8 +141,6 @@
                 self.reaped, self.keep = 0, min(self.s.connection_idle_us, int(self.keep * REGROW))
             self.succeeded(ep, self.settled(ep.lane, call, latency))
             return
-        if result in (Result.CANCELLED, Result.MOOT):
-            return
         call.crowded = self.table_full(ep, result, call, told)
         if call.crowded:
             ep.most, ep.most_at = max(1, sum(c.idle_us >= 0 for c in ep.out.values()) + len(ep.idle)), now
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -290,3 +290,26 @@
     early = of(Send, h.arrive(cls=2) + h.idle(1))
     late = of(Send, h.idle(6))
     assert not [a for a in early if a.message == h.next] and [a for a in late if a.message == h.next]
+
+
+@pytest.mark.parametrize("result", [Result.MOOT, Result.TIMEOUT, Result.CONNECT_FAILED])
+def test_bundle_is_not_judged_by_a_message_that_ended_by_itself(result):
+    h = Host(kinds=(Kind("k", batch=2),))
+    h.arrive()
+    for cls in (0, 0):
+        h.arrive(cls)
+    assert [a.message for a in of(Send, h.end(1, Result.OK))] == [2, 3]  # one call; the window is two wide
+    h.do(AttemptEnded(2, 0, 100, result, 100_000, closed=True), after=100_000)
+    h.end(3, Result.OK, after=0)
+    assert sum(len(of(Send, h.arrive())) for _ in range(4)) >= 3  # and three wide after its success
+
+
+def test_bundle_that_is_lost_as_a_whole_is_judged():
+    h = Host(kinds=(Kind("k", batch=2),))
+    h.arrive()
+    for _ in range(2):
+        h.arrive()
+    h.end(1, Result.OK)
+    h.end(2, Result.TIMEOUT, after=2 * S)
+    h.end(3, Result.TIMEOUT, after=0)
+    assert h.courier.endpoints[100].bad > 0
