Give a moot call's place in the pace back

A call answered 410 (or never sent) reached no limit, yet it used up a token of its destination's pace and taught nothing.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -245,6 +245,8 @@
                 self.health.judge(ep, e.result, call, e.latency_us, e.retry_after_us)
         if call.left == 0 and ep.c.trial is call:
             ep.c.trial = None
+        if call.left == 0 and not call.judged and e.result is Result.MOOT:  # no call came of it
+            ep.lane.tokens, ep.c.tokens = ep.lane.tokens + 1.0, min(1.0, ep.c.tokens + 1.0)
         if ep.state is EndpointState.GONE and not ep.out:
             self._forget(ep)
         if e.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED) and m.key and self.s.key_rest_us:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -313,3 +313,15 @@
     h.end(2, Result.TIMEOUT, after=2 * S)
     h.end(3, Result.TIMEOUT, after=0)
     assert h.courier.endpoints[100].bad > 0
+
+
+def test_calls_for_messages_that_are_over_use_up_no_pace():
+    h = Host()
+    h.arrive()
+    h.end(1, Result.OK)
+    h.arrive()
+    h.end(2, Result.FULL, told=S)  # from here on the destination is paced, to a call in two seconds
+    h.idle(4)
+    for n in range(3, 7):
+        assert [a.message for a in of(Send, h.arrive())] == [n]
+        h.do(AttemptEnded(n, 0, 100, Result.MOOT, 1000, closed=True), after=S // 100)
