Let the pace follow the limit that each answer tells

Answers carry x1, the calls a second that the destination takes from all couriers, and nothing read it: the pace was learned from refusals alone. The header and the wire's record now reach the module as one event; a told limit sets what a listed rate sets, and the pace keeps its share of it as it moves. Where the list gives rates, they stay in force.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -14,13 +14,14 @@
 from hopmill.health import SPELL_US, Call, Circuit, Destination, Endpoint, Health, Lane
 from hopmill.interface import (
     Action, AttemptAnswering, AttemptEnded, CloseIdle, Closing, Effect, EndpointsListed, EndpointState, Event,
-    Fail, ListEntry, ListForm, Log, MessageArrived, MessageClass, MessageGone, Refuse, Result, Send, SetTimer,
-    Settings, Subscribe)
+    Fail, ListEntry, ListForm, LoadReported, Log, MessageArrived, MessageClass, MessageGone, Refuse, Result,
+    Send, SetTimer, Settings, Subscribe)
 
 # The design's own figures.
 TRIES = 3  # attempts of one message, first included (the note's default)
 DESERTED = 20  # after this many refusals with no client coming again, clients are taken not to do so
 WINDOW_SHARE = 0.75  # a destination's calls stay under this share of the slots
+LIMIT = "x1"  # the report's name for a limit, in calls a second from all couriers together
 PATIENCE = 0.5  # what would wait for its pace over this part of its life is handed back
 ROOM = 2  # places kept free for new messages
 SHED = 0.9  # at most this share of new messages is refused unsent
@@ -86,6 +87,8 @@
                 self._arrived(e)
             elif isinstance(e, AttemptEnded):
                 self._ended(e)
+            elif isinstance(e, LoadReported):
+                self._reported(e)
             elif isinstance(e, EndpointsListed):
                 self._listed(e)
             elif isinstance(e, MessageGone) and (m := self.messages.get(e.message)):
@@ -128,6 +131,11 @@
             if ep.state is EndpointState.GONE and not ep.out:
                 self._forget(ep)
 
+    def _reported(self, e: LoadReported) -> None:
+        ep, told = self.endpoints.get(e.endpoint), dict(zip(self.s.report_fields, e.values, strict=False))
+        if ep and told.get(LIMIT, 0.0) > 0 and not self.s.rates_listed:
+            self.health.limited(ep.lane, told[LIMIT] / self.s.couriers)
+
     def _forget(self, ep: Endpoint) -> None:
         """It has gone and no call is out there any more: replacements would pile up."""
         if self.endpoints.get(ep.id) is ep:
--- a/hopmill/health.py
+++ b/hopmill/health.py
@@ -277,6 +277,15 @@
         self.fill(lane)
         lane.tokens, lane.stamp = min(lane.tokens, 1.0), max(now, lane.wait_until)
 
+    def limited(self, lane: Lane, part: float) -> None:
+        """This courier's part of the limit was told: the pace keeps its share of it. Refusals alone tell late
+        of a limit that fell, and not at all of one that rose."""
+        if not lane.listed:
+            lane.rate = lane.brink = 0.0 if self.thin else part
+        else:
+            lane.rate, lane.brink = lane.rate * part / lane.listed, lane.brink * part / lane.listed
+        lane.listed = part
+
     def dirt(self, ep: Endpoint) -> float:
         return ep.dirty * max(0.0, 1 - (self.now - ep.dirty_at) / max(1.0, DIRTY_FADE * self.s.cold_us))
 
--- a/hopmill/interface.py
+++ b/hopmill/interface.py
@@ -139,6 +139,7 @@
     answer_slack_us: int = 0
     list_on_request: bool = False  # the endpoint list comes only after Subscribe or FetchList
     rates_listed: bool = False  # the list gives each destination's rate (else its figure means nothing)
+    report_fields: tuple[str, ...] = ()  # names of the values of a LoadReported, in order
     over_share_worth: float = 1.0
     late_halves: bool = False  # worth halves with each further aim, in place of falling evenly
     zone_fees: tuple[float, ...] = ()
@@ -219,6 +220,14 @@
     spoilt: bool = False  # with ERROR: an answer came that can't be read
 
 
+@dataclass(frozen=True, slots=True)
+class LoadReported:
+    """What an answer told of the endpoint's limit, late and noisy: the values that the settings name."""
+
+    endpoint: int
+    values: tuple[float, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ProbeEnded:
     """The outcome of one Probe."""
@@ -257,8 +266,8 @@
     data: bytes
 
 
-Event = (EndpointsListed | MessageArrived | AttemptAnswering | AttemptEnded | ProbeEnded | MessageGone
-         | TimerDue | Closing | PeerNote)
+Event = (EndpointsListed | MessageArrived | AttemptAnswering | AttemptEnded | LoadReported | ProbeEnded
+         | MessageGone | TimerDue | Closing | PeerNote)
 
 # Actions: what the host must carry out, in order. Refuse and Fail are final answers.
 
--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -58,6 +59,7 @@
     begin: Callable[[list[Item]], bool]  # the attempt is about to be written; False: it must not be
     ended: Callable[[Item, int, Outcome, int], None]  # item, endpoint, outcome, latency in us
     told_wait: Callable[[int, int], None]  # endpoint, us: at once, before any outcome
+    reported: Callable[[int, dict[str, float]], None]  # endpoint, the values of a load report
     probed: Callable[[int, Result, int], None]
 
 
@@ -91,6 +93,16 @@
     return int(seconds * 1e6) if 0 < seconds <= MAX_WAIT_S else 0  # nor for nan
 
 
+def load_report(headers: dict[str, str]) -> dict[str, float]:
+    """The values of a load report by their names, none if one can't be read."""
+    try:
+        pairs = (pair.split("=", 1) for pair in headers.get("x-server-load", "").split(",") if pair)
+        values = {name.strip(): float(value) for name, value in pairs}
+    except ValueError:
+        return {}
+    return values if all(math.isfinite(v) for v in values.values()) else {}
+
+
 def bundle_outcomes(body: bytes, wait_us: int) -> dict[str, Outcome]:
     """Each one's end in a bundle's answer; none if it can't be read or names one twice."""
     try:
@@ -143,6 +155,8 @@
         self.status, self.headers = status, headers
         if wait := told_wait(headers):
             self.calls.hooks.told_wait(self.endpoint, wait)
+        if report := load_report(headers):
+            self.calls.hooks.reported(self.endpoint, report)
 
     def data(self, data: bytes) -> None:
         self.received += len(data)
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -56,7 +56,8 @@
         self.last_turn = -self.s.tick_us
         self.closing_at = 0.0
         self.closed: asyncio.Future[None] = loop.create_future()
-        hooks = Hooks(self._may_write, self._begin, self._ended, self._told_wait, self._probed)
+        hooks = Hooks(self._may_write, self._begin, self._ended, self._told_wait, self._reported,
+                      self._probed)
         self.calls = Calls(loop, hooks, self.s.connection_idle_us, self.s.connect_timeout_us,
                            int(config.sockets * IDLE_SHARE))
         self.clients = ClientServer(self.put, max(8, int(config.sockets * CLIENT_SHARE)))
@@ -313,6 +314,10 @@
         key = self._wait_key(endpoint)
         self.waits[key] = max(self.waits.get(key, 0), self.clock() + wait_us)
 
+    def _reported(self, endpoint: int, values: dict[str, float]) -> None:
+        if all(name in values for name in self.s.report_fields):
+            self.tell(i.LoadReported(endpoint, tuple(values[name] for name in self.s.report_fields)))
+
     def _may_write(self, endpoint: int) -> bool:
         """News that came while a connection was being made holds for the call that waits for it."""
         entry = self.entries.get(endpoint)
--- a/hopmill/wire.py
+++ b/hopmill/wire.py
@@ -117,6 +117,7 @@
         answer_slack_us=int(contract.get("answerSlackUs", 0)),
         list_on_request=raw.get("membershipMode") == "on_request",
         rates_listed=raw.get("weightSource") in ("nominal", "rough"),
+        report_fields=tuple(str(f) for f in raw.get("report", {}).get("fields", [])),
         over_share_worth=float(raw.get("overShareWorth", 1.0)), late_halves=family.get("late") == "halves",
         clients_mark_retries=bool(raw.get("clients", {}).get("marksRetry", False)),
         refused_price=float(family.get("refusedPrice", 0.0)),
@@ -156,6 +157,8 @@
         if instance is None:
             raise Malformed(f"record {code} before any instance was named")
         yield instance, _event(code, view, at, tail, pages)
+        if code == 8 and (report := _report(view, at)):
+            yield instance, report
 
 
 def _event(code: int, view: memoryview, at: int, tail: memoryview, pages: dict[int, Any]) -> Any:
@@ -196,6 +199,12 @@
     raise Malformed(f"unknown event code {code}")
 
 
+def _report(view: memoryview, at: int) -> i.LoadReported | None:
+    """The load report of an answer, if it bears one."""
+    _, _, address, port, _, _, _, _, n, *values = _ANSWER.unpack_from(view, at)
+    return i.LoadReported(endpoint_id(address, port), tuple(values[:n])) if n else None
+
+
 class Reply:
     """Collects the actions of one batch and packs them as a frame."""
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -12,6 +12,7 @@
     Kind,
     ListEntry,
     ListForm,
+    LoadReported,
     MessageArrived,
     MessageClass,
     Refuse,
@@ -325,3 +326,29 @@
     for n in range(3, 7):
         assert [a.message for a in of(Send, h.arrive())] == [n]
         h.do(AttemptEnded(n, 0, 100, Result.MOOT, 1000, closed=True), after=S // 100)
+
+
+def paced(h, limit):
+    """How many calls go within a second after the limit was told, with twelve more messages to send."""
+    acts, sent = h.do(LoadReported(100, (0.5, limit)), after=S), 0
+    for _ in range(12):
+        acts += h.arrive()
+    for _ in range(40):
+        sends = of(Send, acts)
+        sent += len(sends)
+        acts = h.do(*(AttemptEnded(a.message, 0, 100, Result.OK, 20_000, True) for a in sends), after=S // 40)
+    return sent
+
+
+def test_pace_follows_the_limit_that_answers_tell():
+    h = Host(couriers=2, report_fields=("x0", "x1"))
+    assert paced(h, 100.0) == 12
+    few = paced(h, 4.0)
+    assert few < 9  # this courier's part is two a second, and success had doubled its pace
+    assert paced(h, 100.0) == 12 + 12 - few  # and at once when it is back
+
+
+def test_a_report_of_no_limit_sets_no_pace():
+    h = Host(report_fields=("x0", "x1"))
+    h.do(LoadReported(100, (0.0, 0.0)), LoadReported(100, ()), LoadReported(999, (0.5, 3.0)))
+    assert h.courier.endpoints[100].lane.rate == 0.0
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -17,8 +17,10 @@
 
     def __init__(self, **changes):
         self.ended, self.waits, self.probes, self.begun = asyncio.Queue(), [], asyncio.Queue(), []
+        self.reports = []
         self.allowed = True
         hooks = c.Hooks(lambda e: self.allowed, self.begin, self.end, lambda e, w: self.waits.append(w),
+                        lambda e, values: self.reports.append(values),
                         lambda e, r, latency: self.probes.put_nowait(r))
         given = {"idle_us": 10_000_000, "connect_us": 1_000_000, "max_idle": 20, **changes}
         self.calls = c.Calls(asyncio.get_running_loop(), hooks, **given)
@@ -238,3 +240,17 @@
         thread.join()
         listener.close()
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(("text", "values"), [
+    ("x0=0.4,x1=25", [{"x0": 0.4, "x1": 25.0}]), ("x0=0.4, x1=1e2,", [{"x0": 0.4, "x1": 100.0}]),
+    ("x0=,x1=3", []), ("x0=nan,x1=3", []), ("x1=inf", []), ("x1", []), ("", [])])
+def test_a_load_report_is_passed_on_if_it_can_be_read(text, values):
+    async def run():
+        endpoint = await Endpoint(answer(200, X_Server_Load=text)).start()
+        o = Outcomes()
+        assert await o.send(endpoint.port, "a") == [("a", c.Outcome(Result.OK, over=True))]
+        assert o.reports == values
+        o.calls.close()
+        await endpoint.stop()
+    asyncio.run(run())
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -7,7 +7,7 @@
 import pytest
 from loopback import Client, Discovery, Fleet, answer, bounded, courier, settings
 
-from hopmill.interface import EndpointState
+from hopmill.interface import AttemptEnded, EndpointState, LoadReported
 from hopmill.net.config import ConfigError, load
 
 
@@ -47,6 +47,23 @@
     assert (await e.call())[3] - told >= 0.7
 
 
+@courier
+async def test_a_load_report_reaches_the_decisions(fleet):
+    reports = [answer(200, X_Server_Load=text) for text in ("x1=25,x0=0.4", "x0=0.4")]
+    e = await fleet.endpoint("a", *reports)
+    client = await fleet.inside()
+    host, told = fleet.host, []
+    tell, host.s = host.tell, replace(host.s, report_fields=("x0", "x1"))
+    host.tell = lambda event: (told.append(event), tell(event))
+    for m in ("m1", "m2"):
+        await client.put(m)
+        await e.call()
+        while sum(isinstance(event, AttemptEnded) for event in told) < int(m[1]):
+            await asyncio.sleep(0.01)
+    reports = [event for event in told if isinstance(event, LoadReported)]
+    assert reports == [LoadReported(host.uids["a"], (0.4, 25.0))]
+
+
 @courier
 async def test_nothing_goes_to_a_draining_endpoint(fleet):
     a = await fleet.endpoint("a")
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -95,6 +95,16 @@
                    i.TimerDue(77), i.AttemptAnswering(5, 1, ep), i.EndpointsListed(i.ListForm.FAILED)]
 
 
+def test_an_answer_with_a_load_report_is_two_events():
+    settings = {**SETTINGS, "report": {"fields": ["x0", "x1"], "how": "piggyback"}}
+    assert wire.read_settings(json.dumps(settings)).report_fields == ("x0", "x1")
+    got = [e for _, e in events(batch([
+        record("BH", 1, 3),
+        record("BIBIHHIBIB4f", 8, 5, 1, ADDRESS, 9003, 200, 18, 1, 0, 2, 0.5, 25, 0, 0)]))]
+    ep = wire.endpoint_id(ADDRESS, 9003)
+    assert got == [i.AttemptEnded(5, 1, ep, i.Result.OK, 18, True), i.LoadReported(ep, (0.5, 25.0))]
+
+
 def test_actions_are_packed_as_the_page_shows():
     reply = wire.Reply()
     reply.instance(3)
