Let the slow start go by the told limit

A slow start's base was set when the circuit opened. A courier that was restarted in the middle of an outage had seen no traffic there: its base was the least one, 0.5 calls a second, for the twelve seconds of the slow start, while its part of the limit, told with the first answer, was 6 to 16 and 50 to 140 messages waited for each destination.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -345,7 +345,8 @@
                 return False
         elif ep.c.ramp_from >= 0:
             ready = sum(1 for x in lane.endpoints.values() if x.state is EndpointState.READY)
-            rate = self.health.warm(ep.c) * ep.c.base / (1 if self.thin else ready)
+            # The base may be from before a limit was told: a restart in an outage knows no traffic to go by.
+            rate = self.health.warm(ep.c) * max(ep.c.base, lane.listed) / (1 if self.thin else ready)
             rate = max(rate, 0.001 if self.thin else 0.05)
             ep.c.tokens, ep.c.stamp = min(1.0, ep.c.tokens + rate * (now - ep.c.stamp) / 1e6), now
             if ep.c.tokens < 1.0:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -363,3 +363,24 @@
             h.end(h.next, Result.OK, endpoint=endpoint)
     waits = [a.timeout_us for dest in (1, 1, 1, 2) for a in of(Send, h.arrive(cls=2, dest=dest))]
     assert len(waits) == 4 and waits[:3] == [S] * 3 and waits[3] < S // 2
+
+
+def answered(h, result, turns):
+    """How many calls go in so many turns of 25 ms with a message each; all end with that result."""
+    acts, sent = [], 0
+    for _ in range(turns):
+        sends = of(Send, acts)
+        sent += len(sends)
+        over = result is Result.OK
+        ended = [AttemptEnded(a.message, h.tries[a.message], 100, result, 1000, over) for a in sends]
+        acts = h.do(*ended) + h.arrive(after=S // 40)
+    return sent
+
+
+def test_slow_start_goes_by_the_told_limit_where_nothing_was_seen_before_the_outage():
+    h = Host(couriers=2, report_fields=("x0", "x1"), cold_share=0.3)
+    assert 3 < answered(h, Result.CONNECT_FAILED, 120) < 40  # restarted in the middle of it: trials only
+    answered(h, Result.OK, 120)
+    h.do(LoadReported(100, (1.0, 40.0)))
+    assert h.courier.endpoints[100].c.ramp_from >= 0
+    assert 10 < answered(h, Result.OK, 80) < 40  # in two seconds, a cold part of twenty a second
