Give operators a console that answers health and counters

One line in, one answer, close, on an address of its own. The figures are counted where each event happens; a call when its last byte is written.

A first build named the hook for a written call `sent`, which the notices already use for a list: every notice then raised. The hook is `flushed` now.

--- a/hopmill/__main__.py
+++ b/hopmill/__main__.py
@@ -10,6 +10,7 @@
 import time
 
 from hopmill.net.config import Config, ConfigError, load
+from hopmill.net.console import Console
 from hopmill.net.host import Host
 from hopmill.net.reload import Reloader
 
@@ -32,15 +33,19 @@
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     host = Host(loop, config)
-    reloader = Reloader(loop, os.environ, host.move)
+    console = Console(host)
+    reloader = Reloader(loop, os.environ, host.move, host.counters.reconfigured)
     loop.add_signal_handler(signal.SIGHUP, reloader.hup)  # unhandled it would end the process
     loop.add_signal_handler(signal.SIGTERM, host.terminate)
     loop.add_signal_handler(signal.SIGINT, host.terminate)
+    if config.console is not None:
+        await console.listen(config.console)  # before all is ready: until then health says no
     port = await host.start()
     logging.info("%s is ready on port %d with %d messages restored", config.name, port,
                  len(host.journal.held))
     await host.closed
     reloader.stop()
+    console.close()
     host.close()
 
 
--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -131,6 +131,10 @@
             if ep.state is EndpointState.GONE and not ep.out:
                 self._forget(ep)
 
+    def avoided(self) -> list[int]:
+        """Endpoints that get nothing but trials now, by what their calls showed."""
+        return [ep.id for ep in self.endpoints.values() if ep.c.open]
+
     def _reported(self, e: LoadReported) -> None:
         ep, told = self.endpoints.get(e.endpoint), dict(zip(self.s.report_fields, e.values, strict=False))
         if ep and told.get(LIMIT, 0.0) > 0 and not self.s.rates_listed:
--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -55,7 +55,8 @@
 class Hooks:
     """What the calls ask of and tell the host."""
 
-    may_write: Callable[[int], bool]  # the endpoint neither drains nor is there a wait
+    may_write: Callable[[int], bool]  # the endpoint neither drains nor is cordoned, and there is no wait
+    sent: Callable[[int], None]  # a call with so many messages was written to its last byte
     begin: Callable[[list[Item]], bool]  # the attempt is about to be written; False: it must not be
     ended: Callable[[Item, int, Outcome, int], None]  # item, endpoint, outcome, latency in us
     told_wait: Callable[[int, int], None]  # endpoint, us: at once, before any outcome
@@ -143,6 +144,10 @@
     def bundle(self) -> bool:
         return len(self.items) > 1
 
+    def flushed(self) -> None:
+        if not self.path:
+            self.calls.hooks.sent(len(self.items))
+
     def begun(self) -> None:
         self.timer(TAIL_S, self._unfinished)
 
--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -161,7 +161,9 @@
             if name == b"MSG.PUT":
                 self.server.put(parse_put(request[1:]), reply)
             elif name == b"PING" and len(request) <= 2:
-                reply.send(b"$%d\r\n%s\r\n" % (len(request[1]), request[1]) if request[1:] else b"+PONG\r\n")
+                pong = b"$%d\r\n%s\r\n" % (len(request[1]), request[1]) if request[1:] else b"+PONG\r\n"
+                why = self.server.not_ready()
+                reply.send(b"-ERR %s\r\n" % _line(why) if why else pong)
             elif name == b"QUIT":
                 self._stop_reading()
                 reply.send(b"+OK\r\n")
@@ -254,10 +256,20 @@
             self.close()
 
     def finish(self) -> None:
-        """Close once nothing is pending."""
-        if self.between_requests:
+        """Close once nothing is pending or unread; one that has only just connected is about to send."""
+        if not self.between_requests or not self.useful and self.loop.time() - self.since < SILENT_S:
+            return
+        if not self.closing and self.pause is None and self._unread():
+            self._readable()
+        else:
             self.close()
 
+    def _unread(self) -> bool:
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def close(self) -> None:
         if self.closed:
             return
@@ -281,8 +293,10 @@
     anything can be closed, and rests for a second when descriptors run out.
     """
 
-    def __init__(self, put: Callable[[Put, Reply], None], max_clients: int) -> None:
+    def __init__(self, put: Callable[[Put, Reply], None], max_clients: int,
+                 not_ready: Callable[[], str] = lambda: "") -> None:
         self.put, self.max_clients = put, max_clients
+        self.not_ready = not_ready  # why a PING is told no, empty for a yes
         self.clients: dict[Client, None] = {}  # the oldest first
         self.idle: dict[Client, None] = {}  # those of use with no request open, the longest idle first
         self.loop = asyncio.get_event_loop()
--- a/hopmill/net/config.py
+++ b/hopmill/net/config.py
@@ -32,6 +32,7 @@
     known: dict[str, Any]
     settings: Settings
     zones: tuple[str, ...]
+    console: Address | None = None  # where operators call
 
 
 def parse_address(text: Any, field: str) -> Address:
@@ -50,6 +51,7 @@
     state = Path(env.get("LB_STATE", ""))
     if not env.get("LB_STATE") or not state.is_dir():
         raise ConfigError(f"LB_STATE: must be a folder, not {env.get('LB_STATE')!r}")
+    console = env.get("LB_CONSOLE") or raw.get("console")
     return Config(
         name=str(env.get("LB_NAME") or raw.get("name", "")),
         listen=parse_address(env.get("LB_LISTEN") or raw.get("listen"), "LB_LISTEN"),
@@ -58,7 +60,8 @@
         sockets=int(_number(limits, "sockets", 1024)),
         disk_bytes=int(_number(limits, "disk_mb", 3) * 1_000_000),
         known=_known(_mapping(raw, "known")), settings=_settings(given),
-        zones=tuple(str(z) for z in given.get("localities") or ()))
+        zones=tuple(str(z) for z in given.get("localities") or ()),
+        console=parse_address(console, "LB_CONSOLE") if console else None)
 
 
 def discovery(env: Mapping[str, str]) -> Address:
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -13,6 +13,8 @@
 from hopmill.net.calls import Calls, Hooks, Item, Outcome
 from hopmill.net.clients import BadRequest, ClientServer, Put, Reply
 from hopmill.net.config import Address, Config, ConfigError, parse_address
+from hopmill.net.console import Refused
+from hopmill.net.counters import Counters
 from hopmill.net.discovery import Notices, Watch
 from hopmill.net.state import Held, Journal
 
@@ -25,6 +27,7 @@
 CLIENT_SHARE, IDLE_SHARE = 0.5, 0.2
 # A planned restart, in seconds from SIGTERM: new clients come until LISTEN_S, calls may last until CALLS_S.
 LISTEN_S, CALLS_S, EXIT_S = 0.5, 3.2, 3.4
+CLOSE_S = 0.02  # between two looks for connections that can be closed
 log = logging.getLogger(__name__)
 
 
@@ -55,12 +58,16 @@
         self.scheduled = False
         self.last_turn = -self.s.tick_us
         self.closing_at = 0.0
+        self.emptying: asyncio.TimerHandle | None = None
+        self.started = False
+        self.counters = Counters([c.name for c in self.s.classes])
         self.closed: asyncio.Future[None] = loop.create_future()
-        hooks = Hooks(self._may_write, self._begin, self._ended, self._told_wait, self._reported,
-                      self._probed)
+        hooks = Hooks(self._may_write, self.counters.written, self._begin, self._ended,
+                      self._told_wait, self._reported, self._probed)
         self.calls = Calls(loop, hooks, self.s.connection_idle_us, self.s.connect_timeout_us,
                            int(config.sockets * IDLE_SHARE))
-        self.clients = ClientServer(self.put, max(8, int(config.sockets * CLIENT_SHARE)))
+        self.clients = ClientServer(self.put, max(8, int(config.sockets * CLIENT_SHARE)),
+                                    self.not_ready)
         self.notices = Notices(loop, config.discovery, self._accepted)
         self.watch = Watch(loop, config.discovery, config.known["rev"], self.listed)
 
@@ -71,7 +78,9 @@
             self._restore(m)
         self.turn()
         self.watch.open()
-        return await self.clients.listen(*self.config.listen)
+        port = await self.clients.listen(*self.config.listen)
+        self.started = True
+        return port
 
     def _restore(self, m: Held) -> None:
         if m.status:
@@ -130,7 +139,8 @@
     def _carry_out(self, actions: list[i.Action], arrived: dict[int, tuple[Held, list[Reply]]]) -> None:
         for a in actions:
             if isinstance(a, (i.Refuse, i.Fail)) and a.message in arrived:
-                _, replies = arrived.pop(a.message)
+                m, replies = arrived.pop(a.message)
+                self._count_end(m.cls, isinstance(a, i.Refuse))
                 for reply in replies:
                     reply.send(refusal(a.retry_after_us) if isinstance(a, i.Refuse) else b"-ERR failed\r\n")
         for m, replies in arrived.values():
@@ -179,6 +189,7 @@
             reply.send(b"+OK\r\n")  # handed in again on a new connection: it is, or was, taken care of
             return
         if self.journal.open + len(self.arrived) >= self.s.max_held:
+            self.counters.handed_back(cls)
             reply.send(refusal(self.courier.come_back_us()))
             return
         now = time.time()
@@ -211,6 +222,7 @@
         except OSError as error:
             log.error("not taken on: %s", error)
             text = refusal(self.courier.come_back_us())
+            self.counters.handed_back(m.cls)
             self.tell(i.MessageGone(m.number))
         else:
             self._guard(m)
@@ -241,6 +253,7 @@
 
     def _end(self, m: Held, status: str, again_ms: int) -> None:
         """Owe the notice, then send it."""
+        self._count_end(m.cls, status == "deferred")
         try:
             self.journal.final(m.number, status, again_ms)
         except OSError as error:  # sent all the same: to end it once more after a restart does no harm
@@ -250,6 +263,12 @@
         self.attempts.pop(m.number, None)
         self.notices.add(m.number, m.id, status, again_ms)
 
+    def _count_end(self, cls: int, handed_back: bool) -> None:
+        if handed_back:
+            self.counters.handed_back(cls)
+        else:
+            self.counters.failed(cls)
+
     def _unguard(self, number: int) -> None:
         if guard := self.guards.pop(number, None):
             guard.cancel()
@@ -337,6 +356,8 @@
     def _ended(self, item: Item, endpoint: int, outcome: Outcome, latency: int) -> None:
         m = self.journal.held.get(item.number)
         over = outcome.over or m is None
+        if m and not m.status and outcome.result is i.Result.OK:
+            self.counters.delivered(m.cls)
         if outcome.over and m:
             self._note(self.journal.done, m.number)
             self._unguard(m.number)
@@ -402,6 +423,29 @@
                             float(target.get("capacity_hint") or 0.0), kind, zone)
         return entry, parse_address(target["endpoint"], "endpoint")
 
+    # Operators
+
+    def not_ready(self) -> str:
+        """Why this process is not to be sent clients, empty if it is."""
+        if self.closing_at:
+            return "ending"
+        return "" if self.started else "starting"
+
+    def health(self) -> None:
+        if why := self.not_ready():
+            raise Refused(why)
+
+    def figures(self) -> str:
+        down = sum(1 for endpoint in self.courier.avoided() if endpoint in self.entries)
+        return self.counters.render({"inflight": self.journal.open, "hosts_listed": len(self.entries),
+                                     "hosts_down": down})
+
+    def _empty(self) -> None:
+        """Close connections between requests, again and again while the courier is being emptied."""
+        self.clients.close_idle()
+        self.emptying = self.loop.call_later(CLOSE_S, self._empty)
+        self._maybe_exit()
+
     # The end
 
     def terminate(self) -> None:
@@ -410,16 +454,15 @@
             return
         now = self.loop.time()
         self.closing_at = now + EXIT_S
+        if self.emptying is not None:
+            self.emptying.cancel()
         self.tell(i.Closing(self.clock() + int(CALLS_S * 1e6)))
         self.loop.call_later(LISTEN_S, self._stop_clients)
         self.loop.call_later(EXIT_S, self._exit)
 
     def _stop_clients(self) -> None:
         self.clients.stop_listening()
-        self.clients.close_idle()
-        if self.clients.clients:
-            self.loop.call_later(0.02, self._stop_clients)
-        self._maybe_exit()
+        self._empty()
 
     def _maybe_exit(self) -> None:
         # What still waits for its turn may be sent until the last call must have begun.
--- a/hopmill/net/http.py
+++ b/hopmill/net/http.py
@@ -27,6 +27,9 @@
 class Exchange:
     """What one request is told of its answer; the methods here ignore all."""
 
+    def flushed(self) -> None:
+        """The request's last byte was written."""
+
     def begun(self) -> None:
         """A first part of the answer has come, not all of it."""
 
@@ -192,6 +195,8 @@
             return
         if self.written:
             self.loop.remove_writer(self.sock)
+            if self.answer is not None:
+                self.answer.exchange.flushed()
         else:
             self.loop.add_writer(self.sock, self._write)
 
--- a/hopmill/net/reload.py
+++ b/hopmill/net/reload.py
@@ -17,13 +17,15 @@
     written. Until it can, the old configuration stays in force."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, env: Mapping[str, str],
-                 moved: Callable[[Address], None]) -> None:
-        self.loop, self.env, self.moved = loop, env, moved
+                 moved: Callable[[Address], None], count: Callable[[bool], None]) -> None:
+        self.loop, self.env, self.moved, self.count = loop, env, moved, count
+        self.failed = False  # since the last signal: its first failure counts, not each new try
         self.backoff = Backoff()
         self.timer: asyncio.TimerHandle | None = None
 
     def hup(self) -> None:
         self.backoff.reset()
+        self.failed = False
         self._read()
 
     def _read(self) -> None:
@@ -32,8 +34,12 @@
             address = discovery(self.env)
         except ConfigError as error:
             log.error("the configuration stays as it was: %s", error)
+            if not self.failed:
+                self.failed = True
+                self.count(False)
             self.timer = self.loop.call_later(self.backoff.next(), self._read)
             return
+        self.count(True)
         self.moved(address)
 
     def stop(self) -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -14,6 +14,7 @@
 import sys
 
 from hopmill.net.config import load
+from hopmill.net.console import Console
 from hopmill.net.host import Host
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -46,6 +47,11 @@
     return raw
 
 
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return server.getsockname()[1]
+
+
 async def bounded(awaitable):
     return await asyncio.wait_for(awaitable, LIMIT)
 
@@ -217,6 +223,7 @@
         self.folder, self.raw = folder, raw or settings()
         self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3, **limits}
         self.discovery, self.endpoints, self.host, self.process = Discovery(), {}, None, None
+        self.console, self.console_port = None, 0
 
     async def __aenter__(self):
         (self.folder / "state").mkdir(exist_ok=True)
@@ -224,6 +231,8 @@
         return self
 
     async def __aexit__(self, *_):
+        if self.console:
+            self.console.close()
         if self.host:
             self.host.close()
         if self.process and self.process.returncode is None:
@@ -243,18 +252,36 @@
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
         return {"LB_NAME": "n0", "LB_LISTEN": "127.0.0.1:0", "LB_CONFIG": str(path),
-                "LB_DISCOVERY": f"127.0.0.1:{self.discovery.port}", "LB_STATE": str(self.folder / "state")}
+                "LB_DISCOVERY": f"127.0.0.1:{self.discovery.port}", "LB_STATE": str(self.folder / "state"),
+                "LB_CONSOLE": f"127.0.0.1:{self.console_port}" if self.console_port else ""}
 
     async def inside(self):
         """Start the courier in this process; returns a client of it."""
         self.host = Host(asyncio.get_running_loop(), load(self.env()))
+        self.console = Console(self.host)
+        self.console_port = await self.console.listen(("127.0.0.1", 0))
         return await Client().open(await self.host.start())
 
+    async def ask(self, call, port=0):
+        """An operator's call: the whole answer."""
+        reader, writer = await bounded(asyncio.open_connection("127.0.0.1", port or self.console_port))
+        writer.write(call.encode() + b"\n")
+        try:
+            return (await bounded(reader.read())).decode()
+        finally:
+            writer.close()
+
+    async def figures(self):
+        lines = (await self.ask("counters")).splitlines()
+        assert lines[0] == "ACK" and lines[-1] == "--"
+        return {name: int(value) for name, value in (line.rsplit(" ", 1) for line in lines[1:-1])}
+
     def port_of_host(self):
         return self.host.clients.sock.getsockname()[1]
 
     async def outside(self, files=0):
         """Start the courier in a process of its own; returns a client of it."""
+        self.console_port = free_port()
         def limit():
             if files:
                 resource.setrlimit(resource.RLIMIT_NOFILE, (files, files))
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -17,9 +17,10 @@
 
     def __init__(self, **changes):
         self.ended, self.waits, self.probes, self.begun = asyncio.Queue(), [], asyncio.Queue(), []
-        self.reports = []
+        self.reports, self.sent = [], []
         self.allowed = True
-        hooks = c.Hooks(lambda e: self.allowed, self.begin, self.end, lambda e, w: self.waits.append(w),
+        hooks = c.Hooks(lambda e: self.allowed, self.sent.append, self.begin, self.end,
+                        lambda e, w: self.waits.append(w),
                         lambda e, values: self.reports.append(values),
                         lambda e, r, latency: self.probes.put_nowait(r))
         given = {"idle_us": 10_000_000, "connect_us": 1_000_000, "max_idle": 20, **changes}
--- /dev/null
+++ b/tests/test_console.py
@@ -0,0 +1,209 @@
+"""The operators' address: what is parsed, what is refused, and that no caller holds up another."""
+
+import asyncio
+import json
+import os
+import sys
+
+import pytest
+from loopback import ROOT, answer, bounded, courier, settings
+
+from hopmill.net import console as c
+from hopmill.net.config import ConfigError, load
+from hopmill.net.counters import Counters, escape
+
+
+class Asked:
+    """A host that keeps what it is asked and refuses one id."""
+
+    def __init__(self):
+        self.calls = []
+
+    def __getattr__(self, name):
+        def call(*args):
+            self.calls.append((name, *args))
+            if args == ("none",):
+                raise c.Refused("no such endpoint")
+            if args == ("broken",):
+                raise RuntimeError("a fault")
+            return "app_inflight 14\n"
+        return call
+
+
+@pytest.mark.parametrize(("line", "says", "asked"), [
+    (b"health\n", "ACK\n", [("health",)]),
+    (b"counters\n", "ACK\napp_inflight 14\n--\n", [("figures",)]),
+    (b"health now\n", "NAK health takes nothing more\n", []),
+    (b"counters all\n", "NAK counters takes nothing more\n", []),
+    (b"\n", "NAK no such call\n", []),
+    (b"HEALTH\n", "NAK no such call\n", []),
+    (b"__class__\n", "NAK no such call\n", []),
+    (b"\xff\xfe\n", "NAK a call is plain ASCII\n", []),
+])
+def test_each_call_has_its_answer(line, says, asked):
+    host = Asked()
+    assert c.answer(line, host) == says
+    assert host.calls == asked
+
+
+def talking(test):
+    """Runs a test with a console of its own."""
+    def run(monkeypatch):
+        async def inner():
+            console = c.Console(Asked())
+            port = await console.listen(("127.0.0.1", 0))
+            try:
+                await test(console, lambda: bounded(asyncio.open_connection("127.0.0.1", port)), monkeypatch)
+            finally:
+                console.close()
+        asyncio.run(inner())
+    return run
+
+
+@talking
+async def test_a_stalled_caller_holds_up_nobody_and_is_told_so(console, call, monkeypatch):
+    monkeypatch.setattr(c, "CALL_S", 0.3)
+    stalled = [await call() for _ in range(5)]
+    for _, writer in stalled:
+        writer.write(b"heal")
+    reader, writer = await call()
+    writer.write(b"health\n")
+    assert await bounded(reader.read()) == b"ACK\n"
+    for reader, writer in stalled:
+        assert (await bounded(reader.read())).startswith(b"NAK ")
+        writer.close()
+    assert console.host.calls == [("health",)]
+
+
+@talking
+async def test_a_call_in_pieces_is_one_call_and_a_cut_one_is_none(console, call, _):
+    reader, writer = await call()
+    for byte in b"health\n":
+        writer.write(bytes([byte]))
+        await writer.drain()
+        await asyncio.sleep(0)
+    assert await bounded(reader.read()) == b"ACK\n"
+    reader, writer = await call()
+    writer.write(b"health")
+    writer.write_eof()
+    assert (await bounded(reader.read())).startswith(b"NAK ")
+    assert console.host.calls == [("health",)]
+
+
+@talking
+async def test_a_line_too_long_and_what_follows_a_call_are_bounded(console, call, _):
+    reader, writer = await call()
+    writer.write(b"x" * 100_000)
+    assert (await bounded(reader.read())).startswith(b"NAK ")
+    reader, writer = await call()
+    writer.write(b"health\n" + b"quiesce\n" * 1000)  # one call a connection; its answer is not lost
+    assert await bounded(reader.read()) == b"ACK\n"
+    assert console.host.calls == [("health",)]
+
+
+@talking
+async def test_the_first_to_come_makes_room_for_one_more(console, call, monkeypatch):
+    monkeypatch.setattr(c, "CALLERS", 3)
+    waiting = [await call() for _ in range(3)]
+    while len(console.callers) < 3:
+        await asyncio.sleep(0.001)
+    reader, writer = await call()
+    writer.write(b"health\n")
+    assert await bounded(reader.read()) == b"ACK\n"
+    assert await bounded(waiting[0][0].read()) == b""
+    waiting[1][1].write(b"health\n")  # only that one went
+    assert await bounded(waiting[1][0].read()) == b"ACK\n"
+
+
+def test_the_environment_names_the_console_before_the_file(tmp_path):
+    raw = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "console": "127.0.0.1:3",
+           "settings": {"no": 1}}
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw))
+    env = {"LB_CONFIG": str(path), "LB_STATE": str(tmp_path), "LB_CONSOLE": "nowhere"}
+    with pytest.raises(ConfigError, match="settings"):
+        load(env)
+    path.write_text(json.dumps({**raw, "settings": settings()}))
+    with pytest.raises(ConfigError, match="LB_CONSOLE"):
+        load(env)
+    assert load({**env, "LB_CONSOLE": "127.0.0.1:4"}).console == ("127.0.0.1", 4)
+    assert load({**env, "LB_CONSOLE": ""}).console == ("127.0.0.1", 3)
+    path.write_text(json.dumps({**raw, "console": "", "settings": settings()}))
+    assert load({**env, "LB_CONSOLE": ""}).console is None
+
+
+def test_figures_are_one_a_line_and_label_values_escaped():
+    counters = Counters(["plain", 'a"b\\c\nd'])
+    counters.delivered(0)
+    counters.handed_back(1)
+    counters.failed(1)
+    counters.written(10)
+    counters.reconfigured(True)
+    assert escape('a"b\\c\nd') == 'a\\"b\\\\c\\nd'
+    assert counters.render({"inflight": 3}).splitlines() == [
+        'app_success_total{tier="plain"} 1', 'app_success_total{tier="a\\"b\\\\c\\nd"} 0',
+        'app_busy_total{tier="plain"} 0', 'app_busy_total{tier="a\\"b\\\\c\\nd"} 1',
+        'app_failure_total{tier="plain"} 0', 'app_failure_total{tier="a\\"b\\\\c\\nd"} 1',
+        "app_backend_calls_total 10", "app_inflight 3", "app_reconfig_ok_total 1",
+        "app_reconfig_failed_total 0"]
+
+
+@courier
+async def test_each_end_is_counted_once_where_it_happens(fleet):
+    e = await fleet.endpoint("a", answer(200), answer(500), answer(429), "hang")
+    client = await fleet.inside()
+    assert await client.put("m1") == "+OK"
+    await e.call()
+    assert await client.put("m1") == "+OK"  # known: no message more
+    assert await client.put("m2", kind="unsafe") == "+OK"
+    assert (await fleet.discovery.final())["status"] == "undeliverable"
+    assert await client.put("m3") == "+OK"
+    assert (await fleet.discovery.final())["status"] == "deferred"
+    figures = await fleet.figures()
+    assert figures['app_success_total{tier="safe"}'] == 1
+    assert figures['app_failure_total{tier="unsafe"}'] == 1
+    assert figures['app_busy_total{tier="safe"}'] == 1
+    assert (figures["app_backend_calls_total"], figures["app_inflight"]) == (3, 0)
+
+
+@courier
+async def test_what_is_turned_away_at_the_door_is_counted(fleet):
+    fleet.raw = settings(policyLimits__maxOpen=1)
+    await fleet.endpoint("a", "hang")
+    client = await fleet.inside()
+    assert await client.put("m1") == "+OK"
+    assert (await client.put("m2", kind="unsafe")).startswith("-BUSY")
+    figures = await fleet.figures()
+    assert figures['app_busy_total{tier="unsafe"}'] == 1 and figures["app_inflight"] == 1
+
+
+@courier
+async def test_reloads_are_counted_one_a_signal(fleet):
+    await fleet.outside()
+    path = fleet.folder / "config.json"
+    text = path.read_text()
+    path.write_text(json.dumps({**json.loads(text), "discovery": f"127.0.0.1:{fleet.discovery.port}"}))
+
+    async def until(name, count):
+        while (figures := await fleet.figures())[name] < count:
+            await asyncio.sleep(0.01)
+        return figures
+
+    fleet.process.send_signal(1)
+    figures = await until("app_reconfig_ok_total", 1)
+    assert figures["app_reconfig_failed_total"] == 0
+    path.write_text(text[:50])
+    fleet.process.send_signal(1)
+    await until("app_reconfig_failed_total", 1)
+    await asyncio.sleep(0.4)  # tried again meanwhile: that is no further reload
+    figures = await fleet.figures()
+    assert (figures["app_reconfig_ok_total"], figures["app_reconfig_failed_total"]) == (1, 1)
+
+
+@courier
+async def test_a_console_that_cannot_be_bound_ends_the_start(fleet):
+    env = {**fleet.env(), "LB_CONSOLE": "192.0.2.1:1"}
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "hopmill", env={**os.environ, **env}, cwd=ROOT, stderr=asyncio.subprocess.PIPE)
+    _, err = await bounded(process.communicate())
+    assert process.returncode == 1 and err.startswith(b"hopmill: cannot start: ")
