Let operators cordon an endpoint and put it back cold

Lists, new numbers for the same uid and restarts lift nothing. Put back, the endpoint counts as cold.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -13,9 +13,9 @@
 
 from hopmill.health import SPELL_US, Call, Circuit, Destination, Endpoint, Health, Lane
 from hopmill.interface import (
-    Action, AttemptAnswering, AttemptEnded, CloseIdle, Closing, Effect, EndpointsListed, EndpointState, Event,
-    Fail, ListEntry, ListForm, LoadReported, Log, MessageArrived, MessageClass, MessageGone, Refuse, Result,
-    Send, SetTimer, Settings, Subscribe)
+    Action, AttemptAnswering, AttemptEnded, CloseIdle, Closing, Effect, EndpointCordoned, EndpointsListed,
+    EndpointState, Event, Fail, ListEntry, ListForm, LoadReported, Log, MessageArrived, MessageClass,
+    MessageGone, Refuse, Result, Send, SetTimer, Settings, Subscribe)
 
 # The design's own figures.
 TRIES = 3  # attempts of one message, first included (the note's default)
@@ -93,6 +93,10 @@
                 self._listed(e)
             elif isinstance(e, MessageGone) and (m := self.messages.get(e.message)):
                 self._close(m)
+            elif isinstance(e, EndpointCordoned) and (ep := self.endpoints.get(e.endpoint)):
+                if ep.cordoned and not e.on:  # operators restart what they cordon: it comes back cold
+                    self.health.chill(ep)
+                ep.cordoned = e.on
             elif isinstance(e, Closing):
                 self.closing = e.until_us
             elif isinstance(e, AttemptAnswering) and (m := self.messages.get(e.message)):
@@ -132,8 +136,8 @@
                 self._forget(ep)
 
     def avoided(self) -> list[int]:
-        """Endpoints that get nothing but trials now, by what their calls showed."""
-        return [ep.id for ep in self.endpoints.values() if ep.c.open]
+        """Endpoints that get nothing but trials now, by the operators' word or by what their calls showed."""
+        return [ep.id for ep in self.endpoints.values() if ep.cordoned or ep.c.open]
 
     def _reported(self, e: LoadReported) -> None:
         ep, told = self.endpoints.get(e.endpoint), dict(zip(self.s.report_fields, e.values, strict=False))
@@ -336,7 +340,7 @@
         """The gate, lane side: drain, wait, slots, windows, pace, circuit, recovery budget."""
         lane, now = ep.lane, self.now
         busy = self.out >= self.s.slots or lane.dest.out >= self.cap or lane.out >= int(lane.window)
-        if busy or ep.state is not EndpointState.READY or len(ep.out) >= ep.most:
+        if busy or ep.cordoned or ep.state is not EndpointState.READY or len(ep.out) >= ep.most:
             return False
         if now < lane.wait_until:
             self._wake(lane.wait_until)
--- a/hopmill/health.py
+++ b/hopmill/health.py
@@ -63,6 +63,7 @@
     def __init__(self, ident: int, lane: Lane, zone: int) -> None:
         self.id, self.lane, self.zone = ident, lane, zone
         self.state = EndpointState.READY
+        self.cordoned = False  # by the operators
         self.out: dict[int, Call] = {}  # calls in flight, oldest first
         self.idle: list[int] = []  # when each idle connection came free
         self.bad, self.dirty, self.dirty_at, self.last_ok = 0.0, 0.0, 0, 0
@@ -296,6 +297,15 @@
         floor = max(ep.c.base, ep.lane.listed or ep.lane.seen * SPARE, 0.5)
         ep.c.base = (ep.lane.listed or own) if self.thin else floor
 
+    def chill(self, ep: Endpoint) -> None:
+        """It is put back after a restart: nothing known of it holds, and it starts slowly."""
+        self.base(ep)
+        ep.c.open, ep.c.bad, ep.c.gap, ep.bad = False, 0.0, 0, 0.0
+        ep.c.ramp_from = ep.c.stamp = self.now
+        ep.c.tokens = self.random.random() if self.thin else 1.0
+        ep.idle.clear()
+        self.actions.append(Log(f"endpoint {ep.id} is put back: slow start"))
+
     def trip(self, ep: Endpoint, sign: str) -> None:
         """Open the circuit: only trials, with growing jittered gaps."""
         if not ep.c.open:
--- a/hopmill/interface.py
+++ b/hopmill/interface.py
@@ -251,6 +251,14 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointCordoned:
+    """Operators keep an endpoint from anything new, whatever the list says; on=False puts it back, cold."""
+
+    endpoint: int
+    on: bool = True
+
+
 @dataclass(frozen=True, slots=True)
 class Closing:
     """A planned restart: no attempt may last past then. What is still held is restored afterwards."""
@@ -267,7 +275,7 @@
 
 
 Event = (EndpointsListed | MessageArrived | AttemptAnswering | AttemptEnded | LoadReported | ProbeEnded
-         | MessageGone | TimerDue | Closing | PeerNote)
+         | MessageGone | TimerDue | EndpointCordoned | Closing | PeerNote)
 
 # Actions: what the host must carry out, in order. Refuse and Fail are final answers.
 
--- a/hopmill/net/console.py
+++ b/hopmill/net/console.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import re
 from typing import Protocol
 
 from hopmill.net.config import Address
@@ -13,6 +14,7 @@
 CALL_S = 2.0  # a call must be whole within this
 LINGER_S = 0.5  # what a caller sends behind its call is read for so long: closing on it would lose the answer
 CALLERS = 24  # at once; the one that came first goes when there are more
+ID = re.compile(r"[\x21-\x7e]{1,256}")
 YES, NO, END = "ACK", "NAK", "--"
 log = logging.getLogger(__name__)
 
@@ -26,6 +28,8 @@
 
     def health(self) -> None: ...
     def figures(self) -> str: ...
+    def cordon(self, uid: str) -> None: ...
+    def uncordon(self, uid: str) -> None: ...
 
 
 def answer(line: bytes, host: Operated) -> str:
@@ -35,12 +39,17 @@
     except UnicodeDecodeError:
         return f"{NO} a call is plain ASCII\n"
     plain = {"health": host.health}
+    named = {"cordon": host.cordon, "uncordon": host.uncordon}
     name, args = (words[0], words[1:]) if words else ("", [])
     try:
         if name in plain and not args:
             plain[name]()
         elif name == "counters" and not args:
             return f"{YES}\n{host.figures()}{END}\n"
+        elif name in named and len(args) == 1 and ID.fullmatch(args[0]):
+            named[name](args[0])
+        elif name in named:
+            raise Refused(f"{name} takes the id of one endpoint")
         elif name in plain or name == "counters":
             raise Refused(f"{name} takes nothing more")
         else:
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -28,6 +28,7 @@
 # A planned restart, in seconds from SIGTERM: new clients come until LISTEN_S, calls may last until CALLS_S.
 LISTEN_S, CALLS_S, EXIT_S = 0.5, 3.2, 3.4
 CLOSE_S = 0.02  # between two looks for connections that can be closed
+MAX_CORDONS = 1000  # kept at once; those of endpoints that never come back would pile up
 log = logging.getLogger(__name__)
 
 
@@ -341,6 +342,7 @@
         """News that came while a connection was being made holds for the call that waits for it."""
         entry = self.entries.get(endpoint)
         ready = entry is not None and entry.state is i.EndpointState.READY
+        ready = ready and self.names.get(endpoint) not in self.journal.cordoned
         return ready and self.waits.get(self._wait_key(endpoint), 0) <= self.clock()
 
     def _begin(self, items: list[Item]) -> bool:
@@ -398,6 +400,9 @@
             elif entry.state is i.EndpointState.DRAINING:
                 self.calls.close_idle(entry.endpoint)
         self.tell(i.EndpointsListed(form, tuple(entries)))
+        for entry in entries:  # in the same turn: the list lifts no cordon, nor does a new number
+            if self.names.get(entry.endpoint) in self.journal.cordoned:
+                self.tell(i.EndpointCordoned(entry.endpoint))
 
     def move(self, discovery: Address) -> None:
         """Discovery is at another address: the watch and the notices both go there."""
@@ -440,6 +445,32 @@
         return self.counters.render({"inflight": self.journal.open, "hosts_listed": len(self.entries),
                                      "hosts_down": down})
 
+    def cordon(self, uid: str) -> None:
+        if uid in self.journal.cordoned:
+            return
+        if uid not in self.uids:
+            raise Refused("no such endpoint")
+        if len(self.journal.cordoned) >= MAX_CORDONS:
+            raise Refused("too many are cordoned")
+        self._cordon(uid, True)
+
+    def uncordon(self, uid: str) -> None:
+        if uid in self.journal.cordoned:
+            self._cordon(uid, False)
+        elif uid not in self.uids:
+            raise Refused("no such endpoint")
+
+    def _cordon(self, uid: str, on: bool) -> None:
+        """Recorded before it is told: what was said to an operator outlasts the process."""
+        try:
+            self.journal.cordon(uid, on)
+        except OSError as error:
+            raise Refused(f"can't be recorded: {error}") from None
+        log.info("endpoint %s is %s", uid, "cordoned" if on else "put back")
+        if (endpoint := self.uids.get(uid)) is not None:
+            self.calls.close_idle(endpoint)
+            self.tell(i.EndpointCordoned(endpoint, on))
+
     def _empty(self) -> None:
         """Close connections between requests, again and again while the courier is being emptied."""
         self.clients.close_idle()
--- a/hopmill/net/state.py
+++ b/hopmill/net/state.py
@@ -132,6 +132,7 @@
         self.ids: dict[str, int] = {}
         self.open = 0  # messages held whose end is still owed
         self.open_keys: dict[str, int] = {}  # theirs
+        self.cordoned: dict[str, None] = {}  # uids that operators keep out, the oldest first
         self.over = Memory()  # ids of messages that are over
         self.keys = Memory()  # keys, by when the first attempt with one that may have run was sent
         self.open_bytes = self.last = 0
@@ -177,6 +178,10 @@
         """A notice is owed."""
         self._write(["final", number, status, again_ms])
 
+    def cordon(self, uid: str, on: bool) -> None:
+        """Operators keep an endpoint out, or put it back."""
+        self._write(["cordon", uid, on])
+
     def told(self, numbers: list[int]) -> None:
         """Notices were accepted."""
         self._write(["over", numbers, time.time()])
@@ -214,7 +219,8 @@
     @property
     def live(self) -> int:
         """Bytes of what is still needed, at most."""
-        return self.open_bytes + self.over.bytes + self.keys.bytes + BLOCK
+        cordons = sum(len(uid) + 8 for uid in self.cordoned)
+        return self.open_bytes + self.over.bytes + self.keys.bytes + cordons + BLOCK
 
     def _apply(self, record: list[Any]) -> None:
         kind = record[0]
@@ -249,6 +255,11 @@
                     self._ended(m)
                     self.open_bytes -= m.bytes
                     self.over.add(m.id, record[2], m.until + OVER_S)
+        elif kind == "cordon":
+            if record[2]:
+                self.cordoned[record[1]] = None
+            else:
+                self.cordoned.pop(record[1], None)
         elif kind == "known":
             self.last = record[1]
             for ident, expires in record[2].items():
@@ -283,6 +294,7 @@
         over = {ident: expires for ident, (_, expires) in self.over.known.items()}
         keys = {key: at for key, (at, _) in self.keys.known.items()}
         parts = [frame(["known", self.last, over, keys])]
+        parts += [frame(["cordon", uid, True]) for uid in self.cordoned]
         for m in self.held.values():
             parts.append(frame(m.record()))
         data = b"".join(parts)
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -32,7 +32,15 @@
 
 @pytest.mark.parametrize(("line", "says", "asked"), [
     (b"health\n", "ACK\n", [("health",)]),
+    (b"cordon s-1\n", "ACK\n", [("cordon", "s-1")]),
+    (b"uncordon s-1\r\n", "ACK\n", [("uncordon", "s-1")]),
     (b"counters\n", "ACK\napp_inflight 14\n--\n", [("figures",)]),
+    (b"cordon none\n", "NAK no such endpoint\n", [("cordon", "none")]),
+    (b"cordon broken\n", "NAK internal error\n", [("cordon", "broken")]),
+    (b"cordon\n", "NAK cordon takes the id of one endpoint\n", []),
+    (b"cordon s-1 s-2\n", "NAK cordon takes the id of one endpoint\n", []),
+    (b"cordon " + b"x" * 300 + b"\n", "NAK cordon takes the id of one endpoint\n", []),
+    (b"cordon s\x01\n", "NAK cordon takes the id of one endpoint\n", []),
     (b"health now\n", "NAK health takes nothing more\n", []),
     (b"counters all\n", "NAK counters takes nothing more\n", []),
     (b"\n", "NAK no such call\n", []),
@@ -78,16 +86,16 @@
 @talking
 async def test_a_call_in_pieces_is_one_call_and_a_cut_one_is_none(console, call, _):
     reader, writer = await call()
-    for byte in b"health\n":
+    for byte in b"cordon s-12\n":
         writer.write(bytes([byte]))
         await writer.drain()
         await asyncio.sleep(0)
     assert await bounded(reader.read()) == b"ACK\n"
     reader, writer = await call()
-    writer.write(b"health")
+    writer.write(b"cordon s-1")
     writer.write_eof()
     assert (await bounded(reader.read())).startswith(b"NAK ")
-    assert console.host.calls == [("health",)]
+    assert console.host.calls == [("cordon", "s-12")]
 
 
 @talking
--- /dev/null
+++ b/tests/test_cordon.py
@@ -0,0 +1,124 @@
+"""Cordon and uncordon: what the module sends, what is written, and what lasts."""
+
+import asyncio
+
+from loopback import answer, courier
+
+from hopmill.brain import Courier
+from hopmill.interface import (
+    AttemptEnded, EndpointCordoned, EndpointsListed, EndpointState, ListEntry, ListForm, MessageArrived,
+    MessageClass, Result, Send, Settings)
+
+LISTED = EndpointsListed(ListForm.FULL, (ListEntry(1, 7, EndpointState.READY),
+                                         ListEntry(2, 7, EndpointState.READY)))
+
+
+def module():
+    return Courier(Settings(classes=(MessageClass("c", 800_000, 60_000_000),), slots=40, max_held=1000,
+                            cold_share=0.3, cold_us=10_000_000, fall_multiple=1.5), seed=1)
+
+
+def sends(courier, now, *events):
+    return [a for a in courier.handle(now, events) if isinstance(a, Send)]
+
+
+def test_nothing_new_goes_to_a_cordoned_endpoint_whatever_the_list_says():
+    courier = module()
+    sends(courier, 0, LISTED, EndpointCordoned(1))
+    to, message, now = [], 0, 0
+    for _ in range(200):
+        message, now = message + 1, now + 50_000
+        out = sends(courier, now, LISTED, MessageArrived(message, 0, 7, now + 60_000_000))
+        to += [a.endpoint for a in out]
+        for a in out:
+            courier.handle(now + 1000, [AttemptEnded(a.message, 0, a.endpoint, Result.OK, 1000, True)])
+    assert set(to) == {2} and len(to) > 150
+    assert courier.avoided() == [1]
+
+
+def test_an_endpoint_put_back_starts_slowly():
+    def calls(*events):
+        courier = module()
+        listed = EndpointsListed(ListForm.FULL, (ListEntry(1, 7, EndpointState.READY),))
+        sends(courier, 0, listed, *events)
+        now, count = 0, 0
+        for message in range(400):
+            now += 5_000
+            out = sends(courier, now, MessageArrived(message, 0, 7, now + 60_000_000))
+            count += len(out)
+            for a in out:
+                courier.handle(now + 1000, [AttemptEnded(a.message, 0, 1, Result.OK, 1000, True)])
+        return count, courier
+
+    usual, _ = calls()
+    slow, courier = calls(EndpointCordoned(1), EndpointCordoned(1), EndpointCordoned(1, False))
+    never, _ = calls(EndpointCordoned(1, False))  # it was not cordoned: nothing changes
+    assert usual == never == 400 and 0 < slow < usual / 10
+    assert courier.avoided() == []
+
+
+@courier
+async def test_a_cordon_holds_across_lists_and_restarts_until_it_is_lifted(fleet):
+    a, b = await fleet.endpoint("a"), await fleet.endpoint("b")
+    client = await fleet.outside()
+    assert (await fleet.ask("cordon nobody")).startswith("NAK ")
+    assert (await fleet.ask("uncordon nobody")).startswith("NAK ")
+    assert await fleet.ask("cordon a") == "ACK\n"
+    assert await fleet.ask("cordon a") == "ACK\n"
+    while (await fleet.figures())["app_hosts_down"] != 1:
+        await asyncio.sleep(0.01)
+    fleet.discovery.change("a", state="terminated")
+    fleet.discovery.change("a", state="in_service")
+    while (await fleet.figures())["app_hosts_listed"] != 2:
+        await asyncio.sleep(0.01)
+    for n in range(10):
+        assert await client.put(f"m{n}") == "+OK"
+        await b.call()
+    await fleet.kill()
+    client = await fleet.outside()
+    for n in range(10, 20):
+        assert await client.put(f"m{n}") == "+OK"
+        await b.call()
+    assert a.calls.empty()
+    assert await fleet.ask("cordon b") == "ACK\n"
+    assert await fleet.ask("uncordon a") == "ACK\n"
+    assert await fleet.ask("uncordon a") == "ACK\n"
+    assert await client.put("last") == "+OK"
+    assert (await a.call())[1]["x-request-id"] == "last" and b.calls.empty()
+
+
+@courier
+async def test_a_call_that_waits_for_its_connection_is_not_written_after_the_cordon(fleet):
+    a = await fleet.endpoint("a")
+    client = await fleet.inside()
+    host = fleet.host
+    begun = []
+    start = host.calls._connected  # the cordon comes between the connection's start and its first byte
+
+    def connected(call, connection, error):
+        if not begun:
+            begun.append(1)
+            host.cordon("a")
+        start(call, connection, error)
+
+    host.calls._connected = connected
+    assert await client.put("m") == "+OK"
+    while not begun:
+        await asyncio.sleep(0.001)
+    await asyncio.sleep(0.1)
+    assert a.calls.empty() and host.journal.open == 1
+    host.uncordon("a")
+    assert (await a.call())[1]["x-request-id"] == "m"
+
+
+@courier
+async def test_what_cannot_be_recorded_is_not_promised(fleet):
+    e = await fleet.endpoint("a", answer(200))
+    client = await fleet.inside()
+    fleet.host.journal.limit = 0
+    assert (await fleet.ask("cordon a")).startswith("NAK can't be recorded")
+    fleet.host.journal.limit = 3_000_000
+    assert await client.put("m") == "+OK"
+    await e.call()
+
+
