Let operators empty the courier and end that: quiesce and resume

PING and health say no at once; late-comers are served, then connections are closed between requests by the code that SIGTERM uses. The listener stays open.

--- a/hopmill/net/console.py
+++ b/hopmill/net/console.py
@@ -30,6 +30,8 @@
     def figures(self) -> str: ...
     def cordon(self, uid: str) -> None: ...
     def uncordon(self, uid: str) -> None: ...
+    def quiesce(self) -> None: ...
+    def resume(self) -> None: ...
 
 
 def answer(line: bytes, host: Operated) -> str:
@@ -38,7 +40,7 @@
         words = line.decode("ascii").split()
     except UnicodeDecodeError:
         return f"{NO} a call is plain ASCII\n"
-    plain = {"health": host.health}
+    plain = {"health": host.health, "quiesce": host.quiesce, "resume": host.resume}
     named = {"cordon": host.cordon, "uncordon": host.uncordon}
     name, args = (words[0], words[1:]) if words else ("", [])
     try:
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -27,6 +27,8 @@
 CLIENT_SHARE, IDLE_SHARE = 0.5, 0.2
 # A planned restart, in seconds from SIGTERM: new clients come until LISTEN_S, calls may last until CALLS_S.
 LISTEN_S, CALLS_S, EXIT_S = 0.5, 3.2, 3.4
+# Quiesced: clients that still come are served until LATE_S, and handed back from then on.
+LATE_S = 2.0
 CLOSE_S = 0.02  # between two looks for connections that can be closed
 MAX_CORDONS = 1000  # kept at once; those of endpoints that never come back would pile up
 log = logging.getLogger(__name__)
@@ -58,7 +60,7 @@
         self.attempts: dict[int, int] = {}  # numbers of the next attempts, as the decision module counts
         self.scheduled = False
         self.last_turn = -self.s.tick_us
-        self.closing_at = 0.0
+        self.closing_at = self.quiet_at = 0.0  # since SIGTERM; since operators asked to empty the courier
         self.emptying: asyncio.TimerHandle | None = None
         self.started = False
         self.counters = Counters([c.name for c in self.s.classes])
@@ -189,7 +191,8 @@
         if put.id in self.journal.ids or put.id in self.journal.over:
             reply.send(b"+OK\r\n")  # handed in again on a new connection: it is, or was, taken care of
             return
-        if self.journal.open + len(self.arrived) >= self.s.max_held:
+        late = self.quiet_at and self.loop.time() > self.quiet_at + LATE_S
+        if late or self.journal.open + len(self.arrived) >= self.s.max_held:
             self.counters.handed_back(cls)
             reply.send(refusal(self.courier.come_back_us()))
             return
@@ -434,6 +437,8 @@
         """Why this process is not to be sent clients, empty if it is."""
         if self.closing_at:
             return "ending"
+        if self.quiet_at:
+            return "quiesced"
         return "" if self.started else "starting"
 
     def health(self) -> None:
@@ -471,6 +476,23 @@
             self.calls.close_idle(endpoint)
             self.tell(i.EndpointCordoned(endpoint, on))
 
+    def quiesce(self) -> None:
+        """Empty the courier: no more clients are asked for, those that still come are served."""
+        if self.closing_at or self.quiet_at:
+            return
+        log.info("quiesced")
+        self.quiet_at = self.loop.time()
+        self.emptying = self.loop.call_later(LISTEN_S, self._empty)
+
+    def resume(self) -> None:
+        if self.closing_at:
+            raise Refused("ending")
+        if self.quiet_at:
+            log.info("resumed")
+        self.quiet_at = 0.0
+        if self.emptying is not None:
+            self.emptying.cancel()
+
     def _empty(self) -> None:
         """Close connections between requests, again and again while the courier is being emptied."""
         self.clients.close_idle()
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -32,6 +32,8 @@
 
 @pytest.mark.parametrize(("line", "says", "asked"), [
     (b"health\n", "ACK\n", [("health",)]),
+    (b"  quiesce \r\n", "ACK\n", [("quiesce",)]),
+    (b"resume\n", "ACK\n", [("resume",)]),
     (b"cordon s-1\n", "ACK\n", [("cordon", "s-1")]),
     (b"uncordon s-1\r\n", "ACK\n", [("uncordon", "s-1")]),
     (b"counters\n", "ACK\napp_inflight 14\n--\n", [("figures",)]),
