--- a/hopmill/__main__.py
+++ b/hopmill/__main__.py
@@ -11,6 +11,7 @@
 
 from hopmill.net.config import Config, ConfigError, load
 from hopmill.net.console import Console
+from hopmill.net.handover import Predecessor, socket_path, take_over
 from hopmill.net.host import Host
 from hopmill.net.reload import Reloader
 
@@ -40,12 +41,23 @@
     loop.add_signal_handler(signal.SIGINT, host.terminate)
     if config.console is not None:
         await console.listen(config.console)  # before all is ready: until then health says no
-    port = await host.start()
-    logging.info("%s is ready on port %d with %d messages restored", config.name, port,
-                 len(host.journal.held))
+    host.warm()
+    path = socket_path(os.environ, config.state)
+    starting = loop.create_task(take_over(loop, host, path))
+    await asyncio.wait({starting, host.closed}, return_when=asyncio.FIRST_COMPLETED)
+    predecessor = Predecessor(loop, host, path)
+    if starting.done():
+        port = starting.result()
+        host.handed_over = lambda: predecessor.reported
+        predecessor.listen()
+        logging.info("%s is ready on port %d with %d messages restored", config.name, port,
+                     len(host.journal.held))
+    else:
+        starting.cancel()
     await host.closed
     reloader.stop()
     console.close()
+    predecessor.close()
     host.close()
 
 
--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -10,12 +10,13 @@
 import math
 import random
 from collections.abc import Iterable
+from typing import Any
 
 from hopmill.health import SPELL_US, Call, Circuit, Destination, Endpoint, Health, Lane
 from hopmill.interface import (
     Action, AttemptAnswering, AttemptEnded, CloseIdle, Closing, Effect, EndpointCordoned, EndpointsListed,
-    EndpointState, Event, Fail, ListEntry, ListForm, LoadReported, Log, MessageArrived, MessageClass,
-    MessageGone, Refuse, Result, Send, SetTimer, Settings, Subscribe)
+    EndpointState, Event, Fail, Inherited, ListEntry, ListForm, LoadReported, Log, MessageArrived,
+    MessageClass, MessageGone, Refuse, Result, Send, SetTimer, Settings, Subscribe)
 
 # The design's own figures.
 TRIES = 3  # attempts of one message, first included (the note's default)
@@ -34,6 +35,26 @@
 TICKS = 3  # ticks kept free before a deadline
 
 
+# What a process hands on to the next, by name.
+COURIER = ("seq", "unreturned", "crowded", "quota")
+HEALTH = ("start", "keep", "refused", "reaped", "hold", "loss", "setup", "setup_dev", "torn")
+LANE = ("listed", "rate", "brink", "tokens", "stamp", "wait_until", "cut_at", "refused", "window", "fulls",
+        "mean", "dev", "hold", "seen", "seen_at")
+ENDPOINT = ("cordoned", "bad", "dirty", "dirty_at", "last_ok", "most", "most_at")
+CIRCUIT = ("bad", "open", "trial_at", "gap", "ramp_from", "base", "tokens", "stamp")
+CALL = ("sent_at", "judged", "idle_us", "alone", "fresh", "crowded")
+MESSAGE = ("seq", "key", "tries", "ran_at", "ran_zone", "ready_at", "closed", "streaming", "quick", "weight")
+
+
+def taken(owner: object, names: tuple[str, ...]) -> list[Any]:
+    return [getattr(owner, name) for name in names]
+
+
+def given(owner: object, names: tuple[str, ...], values: list[Any]) -> None:
+    for name, value in zip(names, values, strict=True):
+        setattr(owner, name, value)
+
+
 class Message:
     def __init__(self, ident: int, cls: MessageClass, event: MessageArrived, seq: int, now: int) -> None:
         self.id, self.cls, self.seq = ident, cls, seq
@@ -97,6 +118,8 @@
                 if ep.cordoned and not e.on:  # operators restart what they cordon: it comes back cold
                     self.health.chill(ep)
                 ep.cordoned = e.on
+            elif isinstance(e, Inherited):
+                self._inherit(e)
             elif isinstance(e, Closing):
                 self.closing = e.until_us
             elif isinstance(e, AttemptAnswering) and (m := self.messages.get(e.message)):
@@ -139,6 +162,72 @@
         """Endpoints that get nothing but trials now, by the operators' word or by what their calls showed."""
         return [ep.id for ep in self.endpoints.values() if ep.cordoned or ep.c.open]
 
+    def hand_over(self) -> dict[str, Any]:
+        """All that the process which comes after needs to go on as if it were this one."""
+        calls: dict[int, tuple[Call, list[tuple[int, int]]]] = {}
+        for ids, (call, _) in self.calls.items():
+            calls.setdefault(id(call), (call, []))[1].append(ids)
+        return {
+            "tries": {m.id: m.tries for m in self.messages.values()},
+            "courier": taken(self, COURIER), "health": taken(self.health, HEALTH),
+            "dests": [[d.number, d.kind, d.arrivals, [[list(x.endpoints), taken(x, LANE)] for x in d.lanes]]
+                      for d in self.dests.values()],
+            "endpoints": [[ep.id, ep.lane.dest.number, ep.zone, taken(ep, ENDPOINT), taken(ep.c, CIRCUIT)]
+                          for ep in self.endpoints.values()],
+            "messages": [[m.id, self.s.classes.index(m.cls), m.dest.number, m.until,
+                          m.last.id if m.last else -1, taken(m, MESSAGE)] for m in self.messages.values()],
+            "calls": [[c.endpoint.id, c.endpoint.c.trial is c, taken(c, CALL), ids]
+                      for c, ids in calls.values()]}
+
+    def _inherit(self, e: Inherited) -> None:
+        """Go on with what another process began; one that is listed no more may still have a call out."""
+        s, here = e.state, e.endpoints
+        given(self, COURIER, s["courier"])
+        given(self.health, HEALTH, s["health"])
+        busy = {call[0] for call in s["calls"]}
+        kinds = {number: min(kind, len(self.s.kinds) - 1) for number, kind, _, _ in s["dests"]}
+        for ident, number, zone, own, circuit in s["endpoints"]:
+            ep = self.endpoints.get(here[ident])
+            if ep is None and ident in busy:
+                ep = self._add(ListEntry(here[ident], number, EndpointState.GONE, 0.0, kinds[number], zone))
+                ep.state = EndpointState.GONE
+            if ep is not None:
+                given(ep, ENDPOINT, own)
+                given(ep.c, CIRCUIT, circuit)
+        for number, _, arrivals, lanes in s["dests"]:
+            dest = self.dests.setdefault(number, Destination(number))
+            dest.kind, dest.arrivals = kinds[number], arrivals
+            for idents, values in lanes:
+                known = [ep for x in idents if (ep := self.endpoints.get(here.get(x, 0)))]
+                if not dest.lanes:  # its told wait holds for endpoints that are yet to come
+                    dest.lanes.append(Lane(dest, Circuit() if self.thin else None))
+                if known or not self.s.kinds[dest.kind].routes_apart:
+                    given(known[0].lane if known else dest.lanes[0], LANE, values)
+        for ident, cls, number, until, last, own in s["messages"]:
+            event = MessageArrived(ident, cls, number, until)
+            m = self.messages[ident] = Message(ident, self.s.classes[cls], event, 0, self.now)
+            given(m, MESSAGE, own)
+            m.dest, m.last = self.dests[number], self.endpoints.get(here.get(last, 0))
+            if m.key:
+                self.keys.setdefault(m.key, []).append(m)
+            if not m.closed:
+                heapq.heappush(self.expiries, (m.until - self.margin, m.id))
+        for ident, trial, own, ids in s["calls"]:
+            ep = self.endpoints[here[ident]]
+            call = Call(ep, self.now)
+            given(call, CALL, own)
+            call.left = len(ids)
+            ep.out[id(call)] = call
+            ep.c.trial = call if trial else ep.c.trial
+            for who in (self, ep.lane, ep.lane.dest):
+                who.out += 1
+            for message, attempt in ids:
+                self.calls[(message, attempt)] = call, self.messages[message]
+                self.messages[message].out += 1
+        for m in self.messages.values():
+            if not m.closed and not m.out:
+                m.dest.queue.append(m)
+
     def _reported(self, e: LoadReported) -> None:
         ep, told = self.endpoints.get(e.endpoint), dict(zip(self.s.report_fields, e.values, strict=False))
         if ep and told.get(LIMIT, 0.0) > 0 and not self.s.rates_listed:
--- a/hopmill/interface.py
+++ b/hopmill/interface.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass, fields
 from enum import Enum
+from typing import Any
 
 
 class Effect(Enum):
@@ -261,9 +262,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Closing:
-    """A planned restart: no attempt may last past then. What is still held is restored afterwards."""
+    """A planned restart: no attempt may last past then. What is still held is restored afterwards.
+    Infinity takes it back."""
 
-    until_us: int
+    until_us: float
+
+
+@dataclass(frozen=True, slots=True)
+class Inherited:
+    """What the process before knew, from Courier.hand_over, on the same clock. Its calls that are out count
+    here until their outcomes come. endpoints: this host's numbers by those of the process before."""
+
+    state: dict[str, Any]
+    endpoints: dict[int, int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -275,7 +286,8 @@
 
 
 Event = (EndpointsListed | MessageArrived | AttemptAnswering | AttemptEnded | LoadReported | ProbeEnded
-         | MessageGone | TimerDue | EndpointCordoned | Closing | PeerNote)
+         | MessageGone | TimerDue | EndpointCordoned | Closing
+         | Inherited | PeerNote)
 
 # Actions: what the host must carry out, in order. Refuse and Fail are final answers.
 
--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -286,6 +286,13 @@
         call.timer(self.connect_s, call.timed_out)
         self._start(call)
 
+    def drop_unbegun(self) -> None:
+        """Give up what no byte was written of: it provably never ran."""
+        for call in list(self.out):
+            if not any(item.begun for item in call.items):
+                call.abandon()
+                self._unsent(call, Result.MOOT)
+
     def cancel(self, number: int, attempt: int) -> None:
         """Stop waiting for a single call; one in a bundle goes on with it."""
         for call in list(self.out):
--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -12,6 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from hopmill.net.resp import FramingError, RequestReader
 
@@ -190,7 +191,7 @@
 
     def _resume(self) -> None:
         self.pause = None
-        if not self.closed and not self.closing:
+        if not self.closed and not self.closing and not self.server.held:
             self.loop.add_reader(self.sock, self._readable)
             self._requests()
 
@@ -239,6 +240,38 @@
         self.loop.remove_writer(self.sock)
         self.flush()
 
+    # A handover
+
+    @property
+    def portable(self) -> bool:
+        """Whether another process can go on with it: it waits for no answer and is not about to end."""
+        return not self.closing and not self.pending
+
+    def state(self) -> list[Any]:
+        return [self.reader.state(), self.unsent, self.useful, self.strikes]
+
+    def restore(self, state: list[Any]) -> None:
+        reader, self.unsent, self.useful, self.strikes = state
+        self.reader.restore(reader)
+        self.due = self.since + (IDLE_S if self.useful else WHOLE_S)
+        if self.useful:
+            self.server.rests(self)
+        self.loop.call_soon(self._go_on)
+
+    def _go_on(self) -> None:
+        """A request may be whole here, read but not handled by the process before."""
+        if not self.closed:
+            self._requests()
+            self.flush()
+
+    def hold(self) -> None:
+        """Read nothing more for now."""
+        self.loop.remove_reader(self.sock)
+
+    def read_on(self) -> None:
+        if not self.closed and not self.closing and self.pause is None:
+            self.loop.add_reader(self.sock, self._readable)
+
     # The end
 
     @property
@@ -302,24 +335,51 @@
         self.loop = asyncio.get_event_loop()
         self.sock: socket.socket | None = None
         self.timers: dict[str, asyncio.TimerHandle] = {}
+        self.held = False  # nothing is accepted or read while the courier is handed over
 
     @property
     def listening(self) -> bool:
         return self.sock is not None
 
-    async def listen(self, host: str, port: int) -> int:
+    async def listen(self, host: str, port: int, fd: int = -1) -> int:
+        """At that address, or on the listening socket that was given."""
         self.loop = asyncio.get_running_loop()
-        self.sock = socket.create_server((host, port), backlog=512,
-                                         family=socket.AF_INET6 if ":" in host else socket.AF_INET)
+        if fd >= 0:
+            self.sock = socket.socket(fileno=fd)
+        else:
+            self.sock = socket.create_server((host, port), backlog=512,
+                                             family=socket.AF_INET6 if ":" in host else socket.AF_INET)
         self.sock.setblocking(False)
         self._accepting()
         self._sweep()
         return self.sock.getsockname()[1]
 
     def _accepting(self) -> None:
-        if self.sock is not None:
+        if self.sock is not None and not self.held:
             self.loop.add_reader(self.sock, self._accept)
 
+    def hold(self) -> None:
+        """Accept and read nothing more for now: what comes waits in the kernel."""
+        self.held = True
+        if self.sock is not None:
+            self.loop.remove_reader(self.sock)
+        for client in self.clients:
+            client.hold()
+
+    def go_on(self) -> None:
+        self.held = False
+        self._accepting()
+        for client in list(self.clients):
+            client.read_on()
+
+    def adopt(self, fd: int, state: list[Any]) -> None:
+        """A connection of the process before."""
+        sock = socket.socket(fileno=fd)
+        sock.setblocking(False)
+        client = Client(self, sock)
+        self.clients[client] = None
+        client.restore(state)
+
     def _rest(self) -> None:
         """No descriptor can be freed: those that wait are taken up a little later."""
         if self.sock is not None:
--- a/hopmill/net/config.py
+++ b/hopmill/net/config.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import os
+import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -33,6 +35,7 @@
     settings: Settings
     zones: tuple[str, ...]
     console: Address | None = None  # where operators call
+    listen_fd: int = -1  # the clients' listening socket, if the platform holds it
 
 
 def parse_address(text: Any, field: str) -> Address:
@@ -61,7 +64,23 @@
         disk_bytes=int(_number(limits, "disk_mb", 3) * 1_000_000),
         known=_known(_mapping(raw, "known")), settings=_settings(given),
         zones=tuple(str(z) for z in given.get("localities") or ()),
-        console=parse_address(console, "LB_CONSOLE") if console else None)
+        console=parse_address(console, "LB_CONSOLE") if console else None,
+        listen_fd=_inherited(env.get("LB_FD", "")))
+
+
+def _inherited(text: str) -> int:
+    """The descriptor of a listening TCP socket that the platform has opened, -1 if it names none."""
+    if not text:
+        return -1
+    try:
+        fd = int(text)
+        with socket.socket(fileno=os.dup(fd)) as sock:
+            tcp = sock.family in (socket.AF_INET, socket.AF_INET6) and sock.type == socket.SOCK_STREAM
+            if not tcp or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                raise ValueError
+    except (ValueError, OSError):
+        raise ConfigError(f"LB_FD: must be the descriptor of a listening TCP socket, not {text!r}") from None
+    return fd
 
 
 def discovery(env: Mapping[str, str]) -> Address:
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
+import math
+import os
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from hopmill import interface as i
 from hopmill.brain import Courier
 from hopmill.net.calls import Calls, Hooks, Item, Outcome
-from hopmill.net.clients import BadRequest, ClientServer, Put, Reply
+from hopmill.net.clients import BadRequest, Client, ClientServer, Put, Reply
 from hopmill.net.config import Address, Config, ConfigError, parse_address
 from hopmill.net.console import Refused
 from hopmill.net.counters import Counters
@@ -42,7 +45,7 @@
         self.courier = Courier(self.s, config.seed)
         self.journal = Journal(config.state, config.disk_bytes,
                                max(c.key_window_us for c in self.s.classes) / 1e6)
-        self.numbers = self.journal.last
+        self.numbers = 0
         self.classes = {c.name: n for n, c in enumerate(self.s.classes)}
         self.tenants = {t.name: n for n, t in enumerate(self.s.tenants)}
         self.kinds = {k.name: n for n, k in enumerate(self.s.kinds)}
@@ -62,12 +65,20 @@
         self.last_turn = -self.s.tick_us
         self.closing_at = self.quiet_at = 0.0  # since SIGTERM; since operators asked to empty the courier
         self.emptying: asyncio.TimerHandle | None = None
-        self.started = False
+        self.started = False  # this process owns the courier and serves
+        self.frozen = self.retired = False  # all is being handed over to another process; it has been
+        self.inherited: dict[tuple[int, int], int] = {}  # calls out at the process before: where
+        self.there: dict[int, int] = {}  # its numbers of endpoints as they are here
+        self.heard = asyncio.Event()  # a first word of discovery
+        self.relayed: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
+        self.moving: list[Client] = []  # connections that go to the other process
+        self.handed_over: Callable[[], bool] = lambda: True  # whether all that was to be told has been
         self.counters = Counters([c.name for c in self.s.classes])
         self.closed: asyncio.Future[None] = loop.create_future()
-        hooks = Hooks(self._may_write, self.counters.written, self._begin, self._ended,
-                      self._told_wait, self._reported, self._probed)
-        self.calls = Calls(loop, hooks, self.s.connection_idle_us, self.s.connect_timeout_us,
+        self.raw: dict[int, dict[str, Any]] = {}  # the list's entries as they came
+        self.hooks = Hooks(self._may_write, self.counters.written, self._begin, self._ended,
+                           self._told_wait, self._reported, self._probed)
+        self.calls = Calls(loop, self.hooks, self.s.connection_idle_us, self.s.connect_timeout_us,
                            int(config.sockets * IDLE_SHARE))
         self.clients = ClientServer(self.put, max(8, int(config.sockets * CLIENT_SHARE)),
                                     self.not_ready)
@@ -75,23 +86,74 @@
         self.watch = Watch(loop, config.discovery, config.known["rev"], self.listed)
 
     async def start(self) -> int:
-        """Restore, take the first turn, then listen: a PING is answered from here on. Returns the port."""
+        """Alone: nobody else serves. Returns the port."""
+        self.warm()
+        self.journal.acquire()
+        return await self.assume()
+
+    def warm(self) -> None:
+        """What can be done before this process owns anything."""
         self.listed({"all": True, "targets": self.config.known["targets"]}, i.ListForm.CACHED)
+        self.watch.open()
+
+    async def warmed(self, seconds: float) -> None:
+        """Until discovery has told of the list; it may be down."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self.heard.wait()
+
+    async def assume(self, given: dict[str, Any] | None = None, fds: list[int] | None = None,
+                     clients: list[list[Any]] | None = None) -> int:
+        """Restore, take the first turn, then listen: a PING is answered from here on. Returns the port.
+
+        given, fds and clients: from the process before, where there is one (see freeze)."""
+        self.numbers = self.journal.last
+        known = self._inherit(given) if given is not None else set()
+        for uid in self.journal.cordoned:
+            if uid in self.uids:
+                self.events.append(i.EndpointCordoned(self.uids[uid]))
         for m in list(self.journal.held.values()):
-            self._restore(m)
+            self._restore(m, m.number in known)
         self.turn()
-        self.watch.open()
-        port = await self.clients.listen(*self.config.listen)
+        fd = self.config.listen_fd
+        if fds:
+            if fd < 0:
+                fd = fds[0]
+            else:
+                os.close(fds[0])
+        port = await self.clients.listen(*self.config.listen, fd)
+        for client, state in zip((fds or [])[1:], clients or [], strict=True):
+            self.clients.adopt(client, state)
         self.started = True
         return port
 
-    def _restore(self, m: Held) -> None:
+    def _restore(self, m: Held, known: bool) -> None:
         if m.status:
             self.notices.add(m.number, m.id, m.status, m.again_ms)
             return
-        self.events.append(self._arrival(m))
+        if not known:
+            self.events.append(self._arrival(m))
         self._guard(m)
 
+    def _inherit(self, given: dict[str, Any]) -> set[int]:
+        """Go on with what the process before knew. Returns the numbers of the messages that it tells of."""
+        if given["rev"] > self.watch.rev:  # its list is the newer one
+            self.watch.rev = given["rev"]
+            self.listed({"all": True, "targets": given["targets"]})
+        for there, uid in given["endpoints"].items():
+            if uid not in self.uids:  # listed no more: a call may still be out there
+                self.listed_ever += 1
+            self.there[there] = self.uids.get(uid, self.listed_ever)
+        for destination, route, until in given["waits"]:
+            self.waits[(destination, self.there.get(route, route))] = until
+        brain = given["brain"]
+        tries = brain["tries"]
+        self.attempts.update({n: t for n, t in tries.items() if n in self.journal.held})
+        for endpoint, items in given["calls"]:
+            self.inherited.update({(n, attempt): self.there[endpoint] for n, attempt in items})
+        self.events.append(i.Inherited(brain, self.there))
+        return set(tries)
+
     def clock(self) -> int:
         return time.monotonic_ns() // 1000
 
@@ -111,7 +173,7 @@
 
     def wake(self) -> None:
         """Take a turn as soon as what has come in with this event is read, a tick after the last at least."""
-        if self.scheduled:
+        if self.scheduled or self.frozen:
             return
         self.scheduled = True
         early = self.last_turn + self.s.tick_us - self.clock()
@@ -122,6 +184,8 @@
 
     def turn(self) -> None:
         self.scheduled = False
+        if self.frozen:
+            return  # what the module would do now, the process that comes after does
         self.last_turn = now = self.clock()
         events, self.events = self.events, []
         arrived, self.arrived = self.arrived, {}
@@ -185,6 +249,9 @@
             raise BadRequest("d: far over the deadline of the class")
         if self.dests and put.dest not in self.dests:
             raise BadRequest("dest: no such destination")
+        if self.frozen:
+            reply.send(refusal(self.courier.come_back_us()))
+            return
         if put.id in self.arriving:
             self.arrived[self.arriving[put.id]][1].append(reply)
             return
@@ -239,7 +306,9 @@
 
     def _overdue(self, number: int) -> None:
         m = self.journal.held.get(number)
-        if m and not m.status:
+        if self.frozen:
+            self.guards[number] = self.loop.call_later(OVERDUE_S, self._overdue, number)
+        elif m and not m.status:
             log.error("message %s was overdue", m.id)
             self.tell(i.MessageGone(number))
             self._end(m, "undeliverable", 0)
@@ -278,6 +347,9 @@
             guard.cancel()
 
     def _accepted(self, numbers: list[int]) -> None:
+        if self.frozen:
+            self.relayed.append((self._accepted, (numbers,)))
+            return
         self._note(self.journal.told, numbers)
         self._maybe_exit()
 
@@ -390,9 +462,11 @@
                 log.error("discovery: an entry that can't be read: %r", error)
                 continue
             entries.append(entry)
-            self.entries[entry.endpoint] = entry
+            self.entries[entry.endpoint], self.raw[entry.endpoint] = entry, target
             self.dests.add(entry.destination)
             self.calls.place(entry.endpoint, address)
+        if form is not i.ListForm.CACHED:
+            self.heard.set()
         if form is not i.ListForm.DELTA:
             named = {e.endpoint for e in entries}
             for number in [n for n in self.entries if n not in named]:
@@ -415,6 +489,7 @@
             self.notices.move(discovery)
 
     def _gone(self, endpoint: int) -> None:
+        self.raw.pop(endpoint, None)
         if entry := self.entries.pop(endpoint, None):
             self.waits.pop((entry.destination, endpoint), None)
         self.uids.pop(self.names.pop(endpoint, ""), None)  # an id that has gone does not come again
@@ -431,10 +506,120 @@
                             float(target.get("capacity_hint") or 0.0), kind, zone)
         return entry, parse_address(target["endpoint"], "endpoint")
 
+    # A handover, as the process that is asked
+
+    def may_hand_over(self) -> str:
+        return "ending" if self.closing_at else "" if self.started else "starting"
+
+    def freeze(self, relay: Callable[[list[Any]], None]) -> tuple[dict[str, Any], list[int], list[list[Any]]]:
+        """Let go of the courier: nothing is accepted, read, begun or recorded from here on.
+
+        Returns what is known, the descriptors of the listening socket and of the clients that wait for no
+        answer, and what was read from each of these. What comes of the calls out is told to `relay`."""
+        self.clients.hold()
+        self.events.append(i.Closing(self.clock()))  # what has come in is answered, but no call begins
+        self.turn()
+        self.calls.drop_unbegun()
+        self.turn()
+        self.frozen = True
+        self.relayed.clear()
+        self.calls.hooks = self._relaying(relay)
+        self.moving = [c for c in self.clients.clients if c.portable]
+        brain = self.courier.hand_over()
+        given = {
+            "brain": brain, "rev": self.watch.rev, "targets": list(self.raw.values()),
+            "endpoints": {n: self.names.get(n, "") for n in self.courier.endpoints},
+            "waits": [[*key, until] for key, until in self.waits.items()],
+            "calls": [[endpoint, items] for endpoint, _, _, items in brain["calls"]]}
+        fds = [c.sock.fileno() for c in (self.clients, *self.moving) if c.sock is not None]
+        states = [c.state() for c in self.moving]
+        self.journal.close()
+        return given, fds, states
+
+    def _relaying(self, relay: Callable[[list[Any]], None]) -> Hooks:
+        """Hooks that tell the process that comes after, and keep what they told in case it never owns."""
+        def ended(item: Item, endpoint: int, outcome: Outcome, latency: int) -> None:
+            self.relayed.append((self._ended, (item, endpoint, outcome, latency)))
+            relay(["ended", item.number, item.attempt, endpoint, item.begun, item.fresh, latency,
+                   outcome.result.value, outcome.over, outcome.wait_us, outcome.spoilt])
+
+        def told_wait(endpoint: int, wait_us: int) -> None:
+            self.relayed.append((self._told_wait, (endpoint, wait_us)))
+            relay(["wait", endpoint, wait_us])
+
+        def reported(endpoint: int, values: dict[str, float]) -> None:
+            self.relayed.append((self._reported, (endpoint, values)))
+            relay(["load", endpoint, values])
+
+        return Hooks(lambda endpoint: False, self.counters.written, lambda items: False, ended, told_wait,
+                     reported, lambda endpoint, result, latency: None)
+
+    def thaw(self) -> None:
+        """The other process has gone without owning: go on."""
+        self.frozen = False
+        self.calls.hooks = self.hooks
+        for told, values in self.relayed:
+            told(*values)
+        self.clients.go_on()
+        self.tell(i.Closing(math.inf))
+
+    def retire(self) -> None:
+        """The other process owns: only the calls that are out are finished here."""
+        self.retired, self.started = True, False
+        self.relayed.clear()
+        for guard in self.guards.values():
+            guard.cancel()
+        self.guards.clear()
+        self.journal.held.clear()
+        self.journal.open = 0
+        self.watch.stop()
+        self.notices.stop()
+        self.clients.stop_listening()
+        for client in self.moving:
+            client.close()
+        self._leave()
+
+    def _leave(self) -> None:
+        self.clients.close_idle()
+        if self.calls.out or self.clients.clients or not self.handed_over():
+            self.loop.call_later(CLOSE_S, self._leave)
+        else:
+            self._exit()
+
+    # And as the one that was started
+
+    def outcome_reported(self, message: list[Any]) -> None:
+        """What came of a call of the process before."""
+        kind, rest = message[0], message[1:]
+        if kind == "wait":
+            self._told_wait(self.there.get(rest[0], -1), rest[1])
+        elif kind == "load":
+            self._reported(self.there.get(rest[0], -1), rest[1])
+        elif kind == "ended":
+            number, attempt, _, begun, fresh, latency, result, over, wait_us, spoilt = rest
+            self._inherited_ended(number, attempt, Outcome(i.Result(result), over, wait_us, spoilt), latency,
+                                  begun, fresh)
+
+    def reports_ended(self) -> None:
+        """The process before has gone: what it has not told of may have run."""
+        if self.inherited:
+            log.warning("%d calls of the process before may have run", len(self.inherited))
+        for number, attempt in list(self.inherited):
+            self._inherited_ended(number, attempt, Outcome(i.Result.CANCELLED), 0, True, False)
+
+    def _inherited_ended(self, number: int, attempt: int, outcome: Outcome, latency: int, begun: bool,
+                         fresh: bool) -> None:
+        endpoint = self.inherited.pop((number, attempt), None)
+        if endpoint is not None:
+            item = Item(number, attempt, "", "", b"", 0, fresh=fresh, begun=begun, ended=True)
+            self._ended(item, endpoint, outcome, latency)
+
     # Operators
 
     def not_ready(self) -> str:
         """Why this process is not to be sent clients, empty if it is."""
+        if self.frozen:
+            return "handed over" if self.retired else "handing over"
         if self.closing_at:
             return "ending"
         if self.quiet_at:
@@ -450,7 +635,12 @@
         return self.counters.render({"inflight": self.journal.open, "hosts_listed": len(self.entries),
                                      "hosts_down": down})
 
+    def _operable(self) -> None:
+        if self.frozen or not self.started:
+            raise Refused(self.not_ready())
+
     def cordon(self, uid: str) -> None:
+        self._operable()
         if uid in self.journal.cordoned:
             return
         if uid not in self.uids:
@@ -460,6 +650,7 @@
         self._cordon(uid, True)
 
     def uncordon(self, uid: str) -> None:
+        self._operable()
         if uid in self.journal.cordoned:
             self._cordon(uid, False)
         elif uid not in self.uids:
@@ -478,6 +669,7 @@
 
     def quiesce(self) -> None:
         """Empty the courier: no more clients are asked for, those that still come are served."""
+        self._operable()
         if self.closing_at or self.quiet_at:
             return
         log.info("quiesced")
@@ -485,6 +677,7 @@
         self.emptying = self.loop.call_later(LISTEN_S, self._empty)
 
     def resume(self) -> None:
+        self._operable()
         if self.closing_at:
             raise Refused("ending")
         if self.quiet_at:
@@ -505,13 +698,21 @@
         """A planned restart: clients that still come are served, what is not done stays in the journal."""
         if self.closing_at:
             return
+        if self.frozen and not self.retired:  # it is known in a moment who is to end
+            self.loop.call_later(CLOSE_S, self.terminate)
+            return
         now = self.loop.time()
         self.closing_at = now + EXIT_S
         if self.emptying is not None:
             self.emptying.cancel()
+        self.loop.call_later(EXIT_S, self._exit)
+        if self.retired:
+            return  # it ends with its last call anyway
+        if not self.started:
+            self._exit()  # it owns nothing yet
+            return
         self.tell(i.Closing(self.clock() + int(CALLS_S * 1e6)))
         self.loop.call_later(LISTEN_S, self._stop_clients)
-        self.loop.call_later(EXIT_S, self._exit)
 
     def _stop_clients(self) -> None:
         self.clients.stop_listening()
--- a/hopmill/net/resp.py
+++ b/hopmill/net/resp.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 MAX_BODY = 64 * 1024
 MAX_ITEMS = 16  # of one request; the longest command has five
 MAX_REQUEST = MAX_BODY + 4096  # bytes of all its items together
@@ -32,6 +34,14 @@
         """A request has begun and is not whole."""
         return self.missing > 0 or self.at < len(self.buffer)
 
+    def state(self) -> list[Any]:
+        """What has been read and not been given out, for another process to go on with."""
+        return [bytes(self.buffer[self.at:]), self.items, self.missing, self.size, self.total]
+
+    def restore(self, state: list[Any]) -> None:
+        buffer, self.items, self.missing, self.size, self.total = state
+        self.buffer, self.at = bytearray(buffer), 0
+
     def feed(self, data: bytes) -> None:
         if self.at == len(self.buffer):
             self.buffer = bytearray(data)
--- a/hopmill/net/state.py
+++ b/hopmill/net/state.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import fcntl
 import logging
 import os
 import struct
@@ -18,7 +20,7 @@
 import msgpack
 
 FRAME = struct.Struct(">II")  # length, checksum
-NAME, FRESH = "messages.journal", "messages.journal.new"
+NAME, FRESH, LOCK = "messages.journal", "messages.journal.new", "owner.lock"
 BLOCK = 512  # files count in whole blocks
 EACH = 160  # bytes kept free for each message's later records
 MEMO = 24  # bytes that a remembered id or key takes in a compacted file, beside itself
@@ -33,6 +35,10 @@
     """The record would take more than the disk limit allows."""
 
 
+class Taken(OSError):
+    """Another process has the journal."""
+
+
 @dataclass
 class Held:
     """A message that the courier owes something: its end, or a notice of it. Times are wall seconds."""
@@ -123,10 +129,16 @@
 
 
 class Journal:
-    """Open messages, owed notices and what is remembered of those that are over."""
+    """Open messages, owed notices and what is remembered of those that are over.
+
+    One process writes it at a time, the one that holds the lock: the courier's owner.
+    """
 
     def __init__(self, folder: Path, limit_bytes: int, key_window_s: float = 0.0) -> None:
-        self.path, self.fresh = folder / NAME, folder / FRESH
+        self.path, self.fresh, self.locking = folder / NAME, folder / FRESH, folder / LOCK
+        self.file = self.lock = -1
+        self.size = 0
+        self.left_at = (-1, -1)  # the file and its length when this process let go of it
         self.limit, self.key_s = limit_bytes, key_window_s + KEYS_S
         self.held: dict[int, Held] = {}
         self.ids: dict[str, int] = {}
@@ -137,9 +149,37 @@
         self.keys = Memory()  # keys, by when the first attempt with one that may have run was sent
         self.open_bytes = self.last = 0
         self.expired_at = 0.0
+
+    def acquire(self) -> Journal:
+        """Become its owner and restore what it holds; Taken if another process is."""
+        self._lock()
         self.fresh.unlink(missing_ok=True)
         self.file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
         self.size = self._restore()
+        return self
+
+    def _lock(self) -> None:
+        lock = os.open(self.locking, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            os.close(lock)
+            raise Taken("another process has the journal") from None
+        self.lock = lock
+
+    def reacquire(self) -> None:
+        """Own it once more with what is in memory; Taken if another process does or has written to it."""
+        self._lock()
+        with contextlib.suppress(OSError):
+            self.file = os.open(self.path, os.O_RDWR | os.O_APPEND)
+            if self._mark() == self.left_at:
+                return
+        self.close()
+        raise Taken("another process has written to the journal")
+
+    def _mark(self) -> tuple[int, int]:
+        info = os.fstat(self.file)
+        return info.st_ino, info.st_size
 
     def _restore(self) -> int:
         data = self.path.read_bytes()
@@ -152,7 +192,13 @@
         return end
 
     def close(self) -> None:
-        os.close(self.file)
+        """Let go of it: from here on another process may own it."""
+        if self.file >= 0:
+            self.left_at = self._mark()
+            os.close(self.file)
+        if self.lock >= 0:
+            os.close(self.lock)
+        self.file = self.lock = -1
 
     # Records: written first, then applied; restoring applies the same ones.
 
@@ -187,6 +233,8 @@
         self._write(["over", numbers, time.time()])
 
     def _write(self, record: list[Any]) -> None:
+        if self.file < 0:
+            raise OSError("this process does not own the journal")
         data = frame(record)
         now = time.time()
         if now - self.expired_at > 1:
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,532 @@
+"""An upgrade: what passes, what each side does when the other dies, and that one process owns at a time."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+from loopback import (
+    ROOT, Client, Endpoint, answer, bounded, courier, free_port, read_request, settings)
+
+from hopmill.brain import Courier
+from hopmill.interface import (
+    AttemptEnded, Effect, EndpointCordoned, EndpointsListed, EndpointState, Inherited, ListEntry, ListForm,
+    MessageArrived, MessageClass, Refuse, Result, Send, Settings)
+from hopmill.net import handover as h
+from hopmill.net.config import load
+from hopmill.net.console import Refused
+from hopmill.net.host import Host
+from hopmill.net.state import Journal, Taken
+
+READY = EndpointState.READY
+
+
+# The module
+
+def module(slots=4):
+    return Courier(Settings(classes=(MessageClass("safe", 800_000, 60_000_000),
+                                     MessageClass("unsafe", 800_000, 60_000_000, Effect.UNSAFE)),
+                            slots=slots, max_held=100, max_retry_after_us=1_000_000), seed=1)
+
+
+def listed(*endpoints):
+    return EndpointsListed(ListForm.FULL, tuple(ListEntry(e, d, READY) for e, d in endpoints))
+
+
+def arrived(number, dest=7, cls=0):
+    return MessageArrived(number, cls, dest, 60_000_000)
+
+
+def sends(actions):
+    return [(a.message, a.endpoint) for a in actions if isinstance(a, Send)]
+
+
+def handed(old, now, endpoints, *events, slots=4):
+    """A module that goes on where the old one was; its numbers of endpoints are others."""
+    new = module(slots)
+    return new, new.handle(now, [*events, Inherited(old.hand_over(), endpoints)])
+
+
+def test_calls_that_are_out_count_against_slots_attempts_and_duplicates():
+    old = module(slots=1)
+    assert sends(old.handle(0, [listed((1, 7)), arrived(1), arrived(2)])) == [(1, 1)]
+    new, actions = handed(old, 1000, {1: 50}, listed((50, 7)), slots=1)
+    assert sends(actions) == [] and new.out == 1  # neither the first again nor the second: the slot is taken
+    actions = new.handle(2000, [AttemptEnded(1, 0, 50, Result.OK, 2000, True)])
+    assert sends(actions) == [(2, 50)] and new.out == 1
+    old = module(slots=1)
+    old.handle(0, [listed((1, 7)), arrived(1, cls=1)])
+    new, _ = handed(old, 1000, {1: 50}, listed((50, 7)), slots=1)
+    actions = new.handle(2000, [AttemptEnded(1, 0, 50, Result.CANCELLED, 0)])
+    assert sends(actions) == [] and new.out == 0 and not new.messages  # it may have run: not sent again
+
+
+def test_a_told_wait_passes_also_without_the_endpoint_that_told_it():
+    old = module()
+    old.handle(0, [listed((1, 7)), arrived(1)])
+    old.handle(1000, [AttemptEnded(1, 0, 1, Result.FULL, 900, retry_after_us=2_000_000)])
+    new, actions = handed(old, 2000, {1: 50}, listed((60, 7)))
+    assert sends(actions) == []
+    assert sends(new.handle(10_000, [arrived(2)])) == []
+    assert sends(new.handle(1_990_000, [])) == []
+    assert sends(new.handle(2_010_000, [])) == [(2, 60)]
+
+
+def test_pace_windows_and_cold_endpoints_pass():
+    old = module()
+    old.handle(0, [listed((1, 7), (2, 8)), arrived(1), arrived(2, dest=8), EndpointCordoned(2)])
+    old.handle(5000, [AttemptEnded(1, 0, 1, Result.OK, 4000, True), EndpointCordoned(2, False)])
+    old.dests[7].lanes[0].rate = 3.5
+    new, _ = handed(old, 6000, {1: 51, 2: 52}, listed((52, 8), (51, 7)))
+    a, b = new.endpoints[51], new.endpoints[52]
+    assert (a.lane.rate, a.lane.window, a.lane.mean) == (3.5, old.endpoints[1].lane.window,
+                                                         old.endpoints[1].lane.mean)
+    assert b.c.ramp_from == 5000 and a.c.ramp_from == -1
+
+
+def test_a_call_out_at_an_endpoint_that_is_listed_no_more_is_still_told_of():
+    old = module()
+    old.handle(0, [listed((1, 7)), arrived(1)])
+    new, _ = handed(old, 1000, {1: 50}, listed((60, 8)))
+    assert new.out == 1
+    actions = new.handle(2000, [AttemptEnded(1, 0, 50, Result.FULL, 2000)])
+    assert [a.message for a in actions if isinstance(a, Refuse)] == [1]
+    assert new.out == 0 and 50 not in new.endpoints
+
+
+def test_a_wait_before_the_next_try_passes():
+    old = module()
+    old.handle(0, [listed((1, 7)), arrived(1)])
+    old.handle(1000, [AttemptEnded(1, 0, 1, Result.ERROR, 900)])
+    ready_at = old.messages[1].ready_at
+    assert ready_at > 1000
+    new, actions = handed(old, 1001, {1: 50}, listed((50, 7)))
+    assert sends(actions) == [] and new.messages[1].ready_at == ready_at
+    assert sends(new.handle(ready_at + 1, [])) == [(1, 50)]
+
+
+# Two hosts in one process: the lock goes by open files, so it holds between them as between processes.
+
+class Gate(Endpoint):
+    """Answers once it is let."""
+
+    def __init__(self):
+        super().__init__()
+        self.open = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        while True:
+            _, path, headers, body = await read_request(reader)
+            self.calls.put_nowait((path, headers, body, 0.0))
+            await self.open.wait()
+            writer.write(answer(200))
+
+
+class Pair:
+    """The process that serves and the one that is started beside it."""
+
+    def __init__(self, fleet):
+        self.fleet, self.loop = fleet, asyncio.get_running_loop()
+        self.path = fleet.folder / "hand.sock"
+        self.old, self.new = fleet.host, None
+        self.predecessor = h.Predecessor(self.loop, self.old, self.path)
+        self.old.handed_over = lambda: self.predecessor.reported
+        self.predecessor.listen()
+
+    def host(self):
+        """One more, as it is before it owns."""
+        self.fleet.raw = self.fleet.raw or settings()
+        self.new = Host(self.loop, load(self.fleet.env()))
+        self.new.warm()
+        return self.new
+
+    async def upgrade(self):
+        new = self.host()
+        await bounded(h.take_over(self.loop, new, self.path))
+        self.fleet.host = new  # the fleet closes it
+        return new
+
+    def close(self):
+        self.predecessor.close()
+        if self.fleet.host is not self.old:
+            self.old.close()
+        elif self.new:
+            self.new.close()
+
+
+def paired(test):
+    @courier
+    async def run(fleet):
+        kept = {}
+
+        async def start():
+            kept["client"] = await fleet.inside()
+            kept["pair"] = Pair(fleet)
+            return kept["client"], kept["pair"]
+        try:
+            await test(fleet, start)
+        finally:
+            if "pair" in kept:
+                kept["pair"].close()
+    return run
+
+
+async def gate(fleet, uid="g", dest=7):
+    fleet.endpoints[uid] = await Gate().start()
+    fleet.discovery.target(uid, fleet.endpoints[uid].port, dest)
+    return fleet.endpoints[uid]
+
+
+@paired
+async def test_an_upgrade_takes_clients_calls_and_cordons_along(fleet, start):
+    g = await gate(fleet)
+    e = await fleet.endpoint("e", dest=8)
+    f = await fleet.endpoint("f", dest=8)
+    client, pair = await start()
+    old = pair.old
+    half = await Client().open(fleet.port_of_host())
+    half.writer.write(Client.message("half", dest=8)[:25])
+    assert await client.put("u", kind="unsafe") == "+OK"
+    await g.call()
+    old.cordon("f")
+    while not any(c.reader.midway for c in old.clients.clients):
+        await asyncio.sleep(0.001)
+    new = await pair.upgrade()
+    assert new.not_ready() == "" and old.not_ready() == "handed over"
+    assert await client.put("next", dest=8) == "+OK"  # on the connection that it had
+    assert await half.send(Client.message("half", dest=8)[25:]) == "+OK"
+    assert {(await e.call())[1]["x-request-id"] for _ in range(2)} == {"next", "half"}
+    assert not old.closed.done() and new.journal.open >= 1  # the old one waits for its call
+    g.open.set()
+    await bounded(old.closed)
+    while new.journal.open:
+        await asyncio.sleep(0.001)
+    assert new.counters.success[2] == 1 and g.calls.empty() and f.calls.empty()
+    assert fleet.discovery.finals.empty() and "f" in new.journal.cordoned
+
+
+@paired
+async def test_the_old_process_dying_midway_equals_a_restart(fleet, start):
+    g, k = await gate(fleet), await gate(fleet, "k", dest=8)
+    client, pair = await start()
+    assert await client.put("u", kind="unsafe") == "+OK"
+    assert await client.put("s", dest=8) == "+OK"
+    await g.call()
+    await k.call()
+    await pair.upgrade()
+    pair.predecessor.channel.close()  # as its death does: no outcome comes any more
+    pair.old.close()
+    assert await fleet.discovery.final() == {"id": "u", "status": "undeliverable"}
+    assert (await k.call())[1]["x-request-id"] == "s"  # it may be repeated
+    assert g.calls.empty()
+
+
+@paired
+async def test_the_old_process_dying_before_it_hands_over_leaves_its_journal(fleet, start):
+    e = await fleet.endpoint("e", dest=8)
+    await gate(fleet, dest=9)
+    client, pair = await start()
+    assert await client.put("m", dest=9) == "+OK"
+    new = pair.host()
+    starting = asyncio.ensure_future(h.take_over(pair.loop, new, pair.path))
+    pair.old.may_hand_over = lambda: "not yet"
+    while not new.heard.is_set():
+        await asyncio.sleep(0.001)
+    await asyncio.sleep(0.1)
+    assert not starting.done() and new.not_ready() == "starting"
+    with pytest.raises(h.Taken):
+        new.journal.acquire()
+    pair.predecessor.close()
+    pair.old.close()
+    await bounded(starting)
+    pair.fleet.host = new
+    assert [m.id for m in new.journal.held.values()] == ["m"] and new.not_ready() == ""
+    late = await Client().open(fleet.port_of_host())
+    assert await late.put("late", dest=8) == "+OK"
+    await e.call()
+
+
+class Stub:
+    """The other side, as far as it comes before it dies."""
+
+    def __init__(self, pair):
+        sock = socket.socket(socket.AF_UNIX)
+        sock.connect(str(pair.path))
+        self.got, self.gone = asyncio.Queue(), asyncio.Event()
+        self.channel = h.Channel(pair.loop, sock, self.got.put_nowait, self.gone.set)
+
+    async def until(self, kind):
+        while (await bounded(self.got.get()))[0] != kind:
+            pass
+
+
+async def still_serves(fleet, pair, client, e, name):
+    while pair.old.frozen or pair.predecessor.channel is not None:
+        await asyncio.sleep(0.001)
+    assert pair.old.not_ready() == "" and await client.put(name, dest=8) == "+OK"
+    assert (await e.call())[1]["x-request-id"] == name
+    late = await Client().open(fleet.port_of_host())
+    assert await late.send(Client.command(b"PING")) == "+PONG"
+
+
+@paired
+async def test_the_new_process_dying_before_it_owns_leaves_the_old_serving(fleet, start):
+    e = await fleet.endpoint("e", dest=8)
+    g = await gate(fleet)
+    client, pair = await start()
+    assert await client.put("out") == "+OK"
+    await g.call()
+    # It connects and says nothing more.
+    stub = Stub(pair)
+    while pair.predecessor.channel is None:
+        await asyncio.sleep(0.001)
+    stub.channel.close()
+    await still_serves(fleet, pair, client, e, "a")
+    # It asks, and is gone when the answer comes.
+    stub = Stub(pair)
+    stub.channel.send(["take", h.VERSION])
+    stub.channel.close()
+    await still_serves(fleet, pair, client, e, "b")
+    # It has the answer, while a call that is out ends.
+    stub = Stub(pair)
+    stub.channel.send(["take", h.VERSION])
+    await stub.until("end")
+    assert pair.old.not_ready() == "handing over"
+    g.open.set()
+    while not pair.predecessor.held_back:
+        await asyncio.sleep(0.001)
+    stub.channel.close()
+    await still_serves(fleet, pair, client, e, "c")
+    while pair.old.journal.open:
+        await asyncio.sleep(0.001)
+    assert pair.old.counters.success[0] == 4 and g.calls.empty()
+    # It has the lock, but has not said so.
+    stub = Stub(pair)
+    stub.channel.send(["take", h.VERSION])
+    await stub.until("end")
+    journal = Journal(fleet.folder / "state", 3_000_000).acquire()
+    journal.close()
+    stub.channel.close()
+    await still_serves(fleet, pair, client, e, "d")
+
+
+@paired
+async def test_a_new_process_that_owns_keeps_the_old_from_writing(fleet, start):
+    client, pair = await start()
+    stub = Stub(pair)
+    stub.channel.send(["take", h.VERSION])
+    await stub.until("end")
+    journal = Journal(fleet.folder / "state", 3_000_000).acquire()
+    stub.channel.close()  # with the lock held
+    await bounded(pair.old.closed)
+    assert pair.old.retired and pair.old.not_ready() == "handed over"
+    with pytest.raises(OSError):
+        pair.old.journal.cordon("x", True)
+    journal.close()
+
+
+@paired
+async def test_rubbish_other_versions_and_silence_change_nothing(fleet, start):
+    e = await fleet.endpoint("e", dest=8)
+    client, pair = await start()
+    for n, message in enumerate(([], ["take", 99], ["take"], ["owned"], ["what", 1])):
+        stub = Stub(pair)
+        stub.channel.send(message)
+        if message == ["take", 99]:
+            assert await bounded(stub.got.get()) == ["no", "another version"]
+        elif message and len(message) == 2:
+            await asyncio.sleep(0.01)
+        stub.channel.close()
+        await still_serves(fleet, pair, client, e, f"m{n}")
+    stub = Stub(pair)
+    stub.channel.sock.send(b"\xff" * 100)
+    await bounded(stub.gone.wait())
+    await still_serves(fleet, pair, client, e, "last")
+    stub = Stub(pair)
+    while pair.predecessor.channel is None:
+        await asyncio.sleep(0.001)
+    pair.predecessor._silent()  # its time is up
+    await bounded(stub.gone.wait())
+    await still_serves(fleet, pair, client, e, "after")
+
+
+@paired
+async def test_an_ending_process_hands_nothing_over(fleet, start):
+    _, pair = await start()
+    pair.old.terminate()
+    stub = Stub(pair)
+    stub.channel.send(["take", h.VERSION])
+    assert await bounded(stub.got.get()) == ["no", "ending"]
+    stub.channel.close()
+
+
+@paired
+async def test_operators_calls_are_refused_while_nobody_or_another_owns(fleet, start):
+    await fleet.endpoint("e")
+    _, pair = await start()
+    new = pair.host()
+    with pytest.raises(Refused, match="starting"):
+        new.health()
+    with pytest.raises(Refused, match="starting"):
+        new.cordon("e")
+    await bounded(h.take_over(pair.loop, new, pair.path))
+    fleet.host = new
+    for call in (pair.old.health, pair.old.quiesce, pair.old.resume):
+        with pytest.raises(Refused, match="handed over"):
+            call()
+    new.health()
+    new.cordon("e")
+
+
+def test_one_process_has_the_journal_and_another_cannot_write_behind_it(tmp_path):
+    first = Journal(tmp_path, 1_000_000).acquire()
+    first.cordon("a", True)
+    second = Journal(tmp_path, 1_000_000)
+    with pytest.raises(Taken):
+        second.acquire()
+    first.close()
+    first.reacquire()  # nobody had it meanwhile
+    first.cordon("b", True)
+    first.close()
+    second.acquire()
+    assert list(second.cordoned) == ["a", "b"]
+    second.cordon("c", True)
+    second.close()
+    with pytest.raises(Taken):
+        first.reacquire()
+    third = Journal(tmp_path, 1_000_000).acquire()  # and the lock was let go of
+    assert list(third.cordoned) == ["a", "b", "c"]
+    third.close()
+
+
+@courier
+async def test_a_stale_file_and_a_long_path_do_not_matter(fleet):
+    await fleet.inside()
+    loop = asyncio.get_running_loop()
+    deep = fleet.folder / ("d" * 60) / ("e" * 60)
+    deep.mkdir(parents=True)
+    path = deep / "hand.sock"
+    left = socket.socket(socket.AF_UNIX)
+    with h.reachable(path) as name:
+        assert len(name) < 100 < len(str(path))
+        left.bind(name)
+    left.close()  # the file stays, as after SIGKILL
+    nobody = h.Successor(loop, path, print, print)
+    assert not await bounded(nobody.ask())
+    predecessor = h.Predecessor(loop, fleet.host, path)
+    predecessor.listen()
+    asked = h.Successor(loop, path, print, print)
+    assert await bounded(asked.ask())
+    asked.close()
+    predecessor.close()
+    assert not path.exists()
+    (deep / "file").write_text("kept")
+    other = h.Predecessor(loop, fleet.host, deep / "file")
+    other.listen()  # not a socket: left alone, and no reason to end
+    assert other.sock is None and (deep / "file").read_text() == "kept"
+
+
+def test_couriers_that_share_a_folder_have_sockets_of_their_own(tmp_path):
+    (tmp_path / "a").mkdir()
+    paths = {h.socket_path({"TMPDIR": "/t"}, tmp_path / name) for name in ("a", "b")}
+    assert len(paths) == 2 and all(p.parent.name == "t" for p in paths)
+
+
+# Processes of their own
+
+def begin(fleet, listener, port):
+    env = {**os.environ, **fleet.env(), "LB_FD": str(listener.fileno()), "TMPDIR": str(fleet.folder),
+           "LB_CONSOLE": f"127.0.0.1:{port}"}
+    return asyncio.create_subprocess_exec(sys.executable, "-m", "hopmill", env=env, cwd=ROOT,
+                                          stderr=asyncio.subprocess.DEVNULL, pass_fds=[listener.fileno()])
+
+
+async def says_yes(fleet, port):
+    while True:
+        with contextlib.suppress(OSError):
+            if await fleet.ask("health", port) == "ACK\n":
+                return
+        await asyncio.sleep(0.01)
+
+
+@courier
+async def test_an_upgrade_under_traffic_turns_nobody_away(fleet):
+    e = await fleet.endpoint("e")
+    with socket.create_server(("127.0.0.1", 0), backlog=100) as listener:
+        ports = [free_port(), free_port()]
+        old = await begin(fleet, listener, ports[0])
+        await bounded(says_yes(fleet, ports[0]))
+        new = None
+        try:
+            kept = await Client().open(listener.getsockname()[1])
+            stop, sent = asyncio.Event(), []
+
+            async def traffic():
+                while not stop.is_set():
+                    fresh = await Client().open(listener.getsockname()[1])
+                    for client in (kept, fresh):
+                        sent.append(f"m{len(sent)}")
+                        assert await client.put(sent[-1]) == "+OK"
+                    fresh.writer.close()
+
+            running = asyncio.ensure_future(traffic())
+            new = await begin(fleet, listener, ports[1])
+            await bounded(says_yes(fleet, ports[1]))
+            assert await bounded(old.wait()) == 0  # it leaves by itself, with nothing out
+            count = len(sent)
+            while len(sent) < count + 5:
+                await asyncio.sleep(0.01)
+            stop.set()
+            await bounded(running)
+            got = {(await e.call())[1]["x-request-id"] for _ in sent}
+            assert got == set(sent)
+            new.send_signal(signal.SIGKILL)
+            await new.wait()
+            new = await begin(fleet, listener, ports[1])  # its file is left: a plain start all the same
+            await bounded(says_yes(fleet, ports[1]))
+        finally:
+            for process in (old, new):
+                if process and process.returncode is None:
+                    process.kill()
+                    await process.wait()
+
+
+@courier
+async def test_sigterm_ends_one_that_waits_and_owns_nothing(fleet):
+    journal = Journal(fleet.folder / "state", 3_000_000).acquire()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = free_port()
+        process = await begin(fleet, listener, port)
+        answer_ = ""
+        while not answer_:
+            with contextlib.suppress(OSError):
+                answer_ = await fleet.ask("health", port)
+            await asyncio.sleep(0.01)
+        assert answer_ == "NAK starting\n"
+        process.send_signal(signal.SIGTERM)
+        assert await bounded(process.wait()) == 0
+    journal.close()
+
+
+@pytest.mark.parametrize("kind", ["word", "closed", "file", "not listening", "unix", "negative"])
+def test_a_bad_descriptor_ends_the_start_with_one_line(tmp_path, kind):
+    raw = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": settings()}
+    (tmp_path / "config.json").write_text(json.dumps(raw))
+    sock = socket.socket(socket.AF_UNIX if kind == "unix" else socket.AF_INET)
+    if kind == "unix":
+        sock.bind(str(tmp_path / "u.sock"))
+        sock.listen()
+    with open(tmp_path / "config.json") as file, sock:
+        fd = file.fileno() if kind == "file" else sock.fileno()
+        text = {"word": "seven", "closed": "99", "negative": "-3"}.get(kind, str(fd))
+        env = {**os.environ, "LB_CONFIG": str(tmp_path / "config.json"), "LB_STATE": str(tmp_path),
+               "LB_FD": text}
+        done = subprocess.run([sys.executable, "-m", "hopmill"], env=env, cwd=ROOT, capture_output=True,
+                              text=True, timeout=20, pass_fds=[fd])
+    assert done.returncode == 2 and done.stderr.startswith("hopmill: LB_FD: ")
+    assert done.stderr.count("\n") == 1
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -140,7 +140,7 @@
 
 def test_compaction_keeps_what_is_open_and_stays_under_the_limit(tmp_path):
     limit = 60_000
-    journal = Journal(tmp_path, limit)
+    journal = Journal(tmp_path, limit).acquire()
     keep = Held(1, "keep", 0, 0, 7, "k", time.time() + 9, False, b"body")
     journal.take(keep)
     journal.attempt([1], 123.0)
@@ -152,7 +152,7 @@
         journal.over.expire(time.time() + 60)
         assert sum(-(-f.stat().st_size // 512) * 512 for f in tmp_path.iterdir()) <= limit
     journal.close()
-    again = Journal(tmp_path, limit)
+    again = Journal(tmp_path, limit).acquire()
     assert (again.held[1].id, again.held[1].tries, again.held[1].may_have_run_at) == ("keep", 1, 123.0)
     assert list(again.held) == [1] and again.last == 1499
     again.close()
@@ -162,7 +162,7 @@
     good = frame(["known", 5, {}, {}])
     path = tmp_path / "messages.journal"
     path.write_bytes(good + good[:-1] + b"\xff" + good)
-    journal = Journal(tmp_path, 100_000)
+    journal = Journal(tmp_path, 100_000).acquire()
     assert journal.last == 5 and path.stat().st_size == len(good)
     journal.close()
 
@@ -198,7 +198,7 @@
     # disk: everything was refused then, with a compaction for each try.
     now = [1000.0]
     monkeypatch.setattr("hopmill.net.state.time.time", lambda: now[0])
-    journal = Journal(tmp_path, 1_000_000, key_window_s=12.0)
+    journal = Journal(tmp_path, 1_000_000, key_window_s=12.0).acquire()
     compactions = []
     compact = journal.compact
     monkeypatch.setattr(journal, "compact", lambda: (compactions.append(1), compact()))
@@ -217,7 +217,7 @@
 
 
 def test_a_journal_near_its_limit_is_not_compacted_for_each_record(tmp_path, monkeypatch):
-    journal = Journal(tmp_path, 200_000)
+    journal = Journal(tmp_path, 200_000).acquire()
     held = 0
     with contextlib.suppress(JournalFull):
         while True:
