--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -37,7 +37,7 @@
 
 # What a process hands on to the next, by name.
 COURIER = ("seq", "unreturned", "crowded", "quota")
-HEALTH = ("start", "keep", "refused", "reaped", "hold", "loss", "setup", "setup_dev", "torn")
+HEALTH = ("start", "keep", "refused", "reaped", "hold", "loss", "setup", "setup_dev", "silent", "torn")
 LANE = ("listed", "rate", "brink", "tokens", "stamp", "wait_until", "cut_at", "refused", "window", "fulls",
         "mean", "dev", "hold", "seen", "seen_at")
 ENDPOINT = ("cordoned", "bad", "dirty", "dirty_at", "last_ok", "most", "most_at")
