--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -512,12 +512,28 @@
         hold = max(lane.hold for lane in dest.lanes)
         short = self.health.hold * max(0, len(self.messages) - self.out) / self.s.slots
         late = soon + max(len(dest.queue) / rate * 1e6, LASTS * short)
+        def loss(m: Message) -> float:
+            return (self._value(m, late) - self._value(m, soon)) / hold
+
         best = None
         for m in dest.queue:
-            key = ((self._value(m, late) - self._value(m, soon)) / hold, m.seq)
+            key = loss(m), m.seq
             if (best is None or key < best[:2]) and (fit := [ep for ep in free if self._may(m, ep)]):
                 best = (*key, m, min(fit, key=lambda ep, m=m: self._rank(ep, m)))
-        return best
+        if best is None or self.s.kinds[dest.kind].batch == 1:
+            return best
+        # What travels with it takes no slot more: ranked as one message, ten in it waited for ten calls. One
+        # that is not full is ranked as one message: it may grow while it waits, and takes as long then.
+        total, seq, m, ep = best
+        along = self._along(m, ep)
+        full = len(along) == self.s.kinds[dest.kind].batch - 1
+        return (total + sum(loss(x) for x in along) if full else total), seq, m, ep
+
+    def _along(self, m: Message, ep: Endpoint) -> list[Message]:
+        """The messages that travel in one call with this one, in the order of arrival."""
+        most = 0 if ep.c.open else self.s.kinds[ep.lane.dest.kind].batch - 1
+        fit = [x for x in ep.lane.dest.queue if x is not m and self._may(x, ep)] if most else []
+        return heapq.nsmallest(most, fit, key=lambda x: x.seq)
 
     def _rank(self, ep: Endpoint, m: Message) -> tuple:
         """Healthy first, then not the one that just failed, one with an idle connection, the cheap one."""
@@ -560,12 +576,8 @@
             ep.c.trial = call
         if ep.c.ramp_from >= 0 or ep.c.open and self.thin:
             ep.c.tokens -= 1.0
-        self._attempt(m, call)
-        for _ in range(self.s.kinds[lane.dest.kind].batch - 1):
-            more = [x for x in lane.dest.queue if self._may(x, ep)]
-            if not more or ep.c.open:
-                break
-            self._attempt(min(more, key=lambda x: x.seq), call)
+        for x in (m, *self._along(m, ep)):
+            self._attempt(x, call)
 
     def _attempt(self, m: Message, call: Call) -> None:
         ep, now = call.endpoint, self.now
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -1,8 +1,10 @@
-"""What makes a call hold its slot for longer."""
+"""Where slots are short: which calls get them, and what makes a call hold its slot for longer."""
 
-from test_brain import Host, S, of
+from test_brain import CLASSES, Host, S, of
 
-from hopmill.interface import AttemptEnded, Result, Send
+from hopmill.interface import (
+    AttemptEnded, EndpointsListed, EndpointState, Kind, ListEntry, ListForm, MessageArrived, MessageClass,
+    Result, Send)
 
 
 def call(h, kept, result=Result.TIMEOUT):
@@ -33,3 +35,24 @@
         call(h, True)
         call(h, False, Result.OK)
     assert h.courier.health.keep < 4 * S
+
+
+def first(batch, messages):
+    """A slot comes free for a dear message for 2, and some for 1 that take `batch` in one call: which go?"""
+    classes = (*CLASSES, MessageClass("dear", aim_us=S, deadline_us=10 * S, worth=20.0))
+    h = Host(slots=1, classes=classes, kinds=(Kind("bundles", batch=batch), Kind("single")))
+    h.do(EndpointsListed(ListForm.FULL, tuple(ListEntry(100 * n, n, EndpointState.READY, kind=int(n > 1))
+                                              for n in (1, 2, 3))))
+    h.arrive(dest=3)
+    h.do(MessageArrived(50, 3, 2, h.now + 10 * S),
+         *(MessageArrived(60 + n, 0, 1, h.now + 10 * S) for n in range(messages)))
+    acts = h.do(AttemptEnded(1, 0, 300, Result.OK, 100_000, True), after=100_000)
+    return [a.message for a in of(Send, acts)]
+
+
+def test_a_full_bundle_is_ranked_by_all_that_travel_in_it():
+    assert first(10, 10) == list(range(60, 70))
+
+
+def test_one_for_one_and_against_a_bundle_that_may_grow_the_dear_message_goes_first():
+    assert first(1, 10) == first(10, 9) == [50]
