Leave clients alone while it is open which process owns them

Between the state's sending and the word of ownership the old process went on sweeping and, if quiesced, closing: it read requests that the new one was to read, and could close what it would have had to serve on.

--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -430,13 +430,16 @@
             spare.close()
 
     def _sweep(self) -> None:
-        now = self.loop.time()
+        if not self.held:  # they may be another process's by now
+            self._sweep_now(self.loop.time())
+        self.timers["sweep"] = self.loop.call_later(SWEEP_S, self._sweep)
+
+    def _sweep_now(self, now: float) -> None:
         for client in [c for c in self.clients if c.due <= now]:
             client.overdue(now)
         silent = [c for c in self.clients if not c.useful and not c.pending and now - c.since > SILENT_S]
         for client in silent[:max(0, len(silent) - int(self.max_clients * IDLE_SHARE))]:
             client.close()
-        self.timers["sweep"] = self.loop.call_later(SWEEP_S, self._sweep)
 
     def left(self, client: Client) -> None:
         self.clients.pop(client, None)
@@ -450,6 +453,8 @@
 
     def close_idle(self) -> None:
         """Close those between requests: one with a request unanswered would lose it."""
+        if self.held:
+            return
         for client in list(self.clients):
             client.finish()
 
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -580,7 +580,8 @@
         self._leave()
 
     def _leave(self) -> None:
-        self.clients.close_idle()
+        for client in list(self.clients.clients):
+            client.finish()
         if self.calls.out or self.clients.clients or not self.handed_over():
             self.loop.call_later(CLOSE_S, self._leave)
         else:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -315,6 +315,27 @@
     await still_serves(fleet, pair, client, e, "d")
 
 
+@paired
+async def test_nothing_is_read_or_closed_while_it_is_open_who_owns(fleet, start):
+    e = await fleet.endpoint("e", dest=8)
+    client, pair = await start()
+    assert await client.put("a", dest=8) == "+OK"
+    pair.old.quiesce()
+    stub = Stub(pair)
+    stub.channel.send(["take", h.VERSION])
+    await stub.until("end")
+    client.writer.write(Client.message("b", dest=8))
+    for served in pair.old.clients.clients:
+        served.due = 0.0
+    pair.old._empty()
+    pair.old.clients._sweep()
+    fd = stub.channel.fds[1]
+    assert Client.message("b", dest=8) in socket.socket(fileno=os.dup(fd)).recv(1000)  # still there, and open
+    assert len(pair.old.clients.clients) == 1
+    stub.channel.close()
+    assert [(await e.call())[1]["x-request-id"]] == ["a"]
+
+
 @paired
 async def test_a_new_process_that_owns_keeps_the_old_from_writing(fleet, start):
     client, pair = await start()
