Let what lost calls added to a lane's hold fade while none ends there

What gets a slot is ranked by loss over the time a call is taken to hold it. A call lost after 4 s raised that of destination 0 to 650 ms; ranked last, it got no slot for 14 s, so nothing corrected the figure.

Ruled out by the log: pace, window and told waits of destination 0 were free.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -39,7 +39,7 @@
 COURIER = ("seq", "unreturned", "crowded", "quota")
 HEALTH = ("start", "keep", "refused", "reaped", "hold", "loss", "setup", "setup_dev", "silent", "torn")
 LANE = ("listed", "rate", "brink", "tokens", "stamp", "wait_until", "cut_at", "refused", "window", "fulls",
-        "mean", "dev", "hold", "seen", "seen_at")
+        "mean", "dev", "hold", "hold_at", "seen", "seen_at")
 ENDPOINT = ("cordoned", "bad", "dirty", "dirty_at", "last_ok", "most", "most_at")
 CIRCUIT = ("bad", "open", "trial_at", "gap", "ramp_from", "base", "tokens", "stamp")
 CALL = ("sent_at", "judged", "idle_us", "alone", "fresh", "crowded")
@@ -345,6 +345,7 @@
             call.judged = True
             if e.result is not Result.FULL:
                 ep.lane.hold += (e.latency_us - ep.lane.hold) / 8
+                ep.lane.hold_at = self.now
                 self.health.hold += (e.latency_us - self.health.hold) / 32
             if not e.spoilt or self.now - ep.last_ok > SPELL_US:  # a spoilt answer is no trouble by itself
                 self.health.judge(ep, e.result, call, e.latency_us, e.retry_after_us)
@@ -509,7 +510,7 @@
         soon = self.now + mean
         # Where slots are short, what waits for them waits for all calls queued, and one that holds its slot
         # long costs others theirs: hung and slow lanes get what is left (they had eaten all slots).
-        hold = max(lane.hold for lane in dest.lanes)
+        hold = max(self.health.held(lane) for lane in dest.lanes)
         short = self.health.hold * max(0, len(self.messages) - self.out) / self.s.slots
         late = soon + max(len(dest.queue) / rate * 1e6, LASTS * short)
         def loss(m: Message) -> float:
--- a/hopmill/health.py
+++ b/hopmill/health.py
@@ -32,6 +32,7 @@
 REAP, REGROW = 0.5, 1.25  # idle connections are trusted for this part of the age at which one failed
 SILENT_MEMORY = 1 / 32  # weight of the newest call in the shares that go unanswered
 SILENT_X, SILENT_FEW = 2.0, 0.05  # kept connections lose more than new ones from this multiple and share on
+HOLD_FADE_US = 2_000_000  # time in which what a lane's slots were seen to be held for fades to its latency
 FRESH_US = 1_000_000  # an endpoint that answered this lately is not down: a failed connect is a full table
 SPELL_US = 1_000_000  # trouble that lasted no longer than this, with answers before and after, was no outage
 REUSE_MEMORY = 1 / 16  # weight of the newest call in the share lost on kept connections
@@ -85,7 +86,7 @@
         self.refused = 0.0  # share of calls refused as full
         self.window, self.out, self.fulls = 1.0, 0, 0
         self.mean = self.dev = 0.0  # latency
-        self.hold = 1e5  # time that a call takes a slot, failed ones included
+        self.hold, self.hold_at = 1e5, 0  # time that a call takes a slot, also a failed one; when seen
         self.seen, self.seen_at = 0.0, 0  # successes a second
 
 
@@ -325,6 +326,12 @@
         ep.c.gap = min(GAP_CAP_US, ep.c.gap * 2 or GAP_US)
         ep.c.trial_at = self.now + int(self.random.uniform(0.5, 1) * ep.c.gap)
 
+    def held(self, lane: Lane) -> float:
+        """Time that a call there is likely to take a slot. What lost calls added fades while none is sent: a
+        lane that is thought dear gets no slot, and would never show that it is not."""
+        share = max(0.0, 1 - (self.now - lane.hold_at) / HOLD_FADE_US)
+        return lane.hold if not lane.mean else lane.mean + (lane.hold - lane.mean) * share
+
     def timeout(self, lane: Lane) -> int:
         return int(lane.mean + max(lane.mean, lane.dev * TAIL_X * math.log(1 / (ALIVE * self.loss))))
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -56,3 +56,23 @@
 
 def test_one_for_one_and_against_a_bundle_that_may_grow_the_dear_message_goes_first():
     assert first(1, 10) == first(10, 9) == [50]
+
+
+def test_a_lane_thought_dear_for_a_lost_call_gets_a_slot_again_after_a_while():
+    def goes_first(pause):
+        h = Host(slots=1, kinds=(Kind("k"),))
+        h.do(EndpointsListed(ListForm.FULL, tuple(ListEntry(100 * n, n, EndpointState.READY)
+                                                  for n in (1, 2, 3))))
+        for dest in (1, 2):
+            h.arrive(dest=dest)
+            h.end(h.next, Result.OK, endpoint=100 * dest)
+        h.arrive(cls=2, dest=2)
+        h.end(h.next, Result.TIMEOUT, latency=4 * S, endpoint=200)  # one lost call; others are answered
+        busy = h.next + 1
+        h.arrive(dest=3, after=int(pause * S))
+        for dest in (2, 1):
+            h.arrive(dest=dest)
+        return of(Send, h.end(busy, Result.OK, endpoint=300))[0].endpoint
+
+    assert goes_first(0.1) == 100
+    assert goes_first(3) == 200
