--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -27,7 +27,7 @@
 ROOM = 2  # places kept free for new messages
 SHED = 0.9  # at most this share of new messages is refused unsent
 QUICK_US = 200_000  # a failure that came this soon may be tried again at once, outage or not
-TORN = 0.08  # share of calls on kept connections that are reset, over which unsafe messages get a new one
+TORN = 0.08  # unsafe messages get a new connection where kept ones are reset so much more often
 DIRTY = 0.15  # share of may-have-run failures over which unsafe messages wait
 # Time-outs.
 LASTS = 2.0  # what is put off for want of slots waits this many times the queue: new messages come first
@@ -562,7 +562,8 @@
         lane.dest.out += 1
         ep.out[id(call)] = call
         oldest = now - self.health.keep
-        call.fresh = m.cls.effect is Effect.UNSAFE and self.health.torn > TORN
+        new, kept = self.health.torn
+        call.fresh = m.cls.effect is Effect.UNSAFE and kept > new + TORN
         if ep.idle and not call.fresh:
             if ep.idle[-1] > oldest:
                 call.idle_us = now - ep.idle[-1]
--- a/hopmill/health.py
+++ b/hopmill/health.py
@@ -31,7 +31,7 @@
 SPARE = 2.0  # an unlisted capacity is taken for this multiple of the traffic that it was seen to take
 REAP, REGROW = 0.5, 1.25  # idle connections are trusted for this part of the age at which one failed
 SILENT_MEMORY = 1 / 32  # weight of the newest call in the shares that go unanswered
-SILENT_X, SILENT_FEW = 2.0, 0.05  # kept connections lose more than new ones from this multiple and share on
+LOST_NEW_X, LOST_FEW = 1.5, 0.05  # kept connections lose more than new ones from this multiple and share on
 HOLD_FADE_US = 2_000_000  # time in which what a lane's slots were seen to be held for fades to its latency
 FRESH_US = 1_000_000  # an endpoint that answered this lately is not down: a failed connect is a full table
 SPELL_US = 1_000_000  # trouble that lasted no longer than this, with answers before and after, was no outage
@@ -126,7 +126,7 @@
         self.loss = LOSS  # share of calls that are never answered though others are
         self.setup = self.setup_dev = 0.0  # what the first call on a new connection takes longer
         self.silent = [0.0, 0.0]  # share of calls that are never answered: on new connections, on kept ones
-        self.torn = 0.0  # share of calls on kept connections that are reset
+        self.torn = [0.0, 0.0]  # share of calls that are reset, likewise
         self.actions: list[Action] = []
 
     def backoff(self, attempt: int) -> int:
@@ -134,14 +134,14 @@
 
     def judge(self, ep: Endpoint, result: Result, call: Call, latency: int, told: int) -> None:
         lane, now = ep.lane, self.now
-        if call.idle_us >= 0 and result in (Result.OK, Result.ERROR, Result.RESET):
-            self.torn += ((result is Result.RESET) - self.torn) * REUSE_MEMORY
+        kept = call.idle_us >= 0
+        if result in (Result.OK, Result.ERROR, Result.RESET):
+            self.torn[kept] += ((result is Result.RESET) - self.torn[kept]) * REUSE_MEMORY
         if result is not Result.CONNECT_FAILED:
-            kept = call.idle_us >= 0
             self.silent[kept] += ((result is Result.TIMEOUT) - self.silent[kept]) * SILENT_MEMORY
-        # Calls that go unanswered on new connections just as often say nothing of how long one may be kept.
-        aged = result is Result.RESET or self.silent[True] > SILENT_X * self.silent[False] + SILENT_FEW
-        if result in (Result.TIMEOUT, Result.RESET) and call.idle_us >= 0 and aged:
+        # Calls that are lost on new connections just as often say nothing of how long one may be kept.
+        new, old = self.torn if result is Result.RESET else self.silent
+        if result in (Result.TIMEOUT, Result.RESET) and kept and old > LOST_NEW_X * new + LOST_FEW:
             # A connection dropped unseen while it was idle: older ones are closed before a call.
             self.reaped += 1
             if self.reaped > 1:
