Keep idle connections in a large fleet too

Lines at fault: health.py set keep to 0 wherever couriers > slots. One courier's 4 slots bound what it keeps.

Ruled out: a full table at the endpoints. The network code's own pool: it kept what it was told to keep.

--- a/hopmill/health.py
+++ b/hopmill/health.py
@@ -117,9 +117,7 @@
         self.burst = BURST_PRICED_S if settings.refused_price else BURST_S
         # Many small couriers: each meets a destination so rarely that its equal part of anything says little.
         self.thin = settings.couriers > settings.slots
-        # Idle connections are used up to this age. Those of hundreds of couriers fill a destination's table,
-        # and few would serve again in time: a large fleet keeps none.
-        self.keep = 0 if self.thin else settings.connection_idle_us
+        self.keep = settings.connection_idle_us  # idle connections are used up to this age
         self.refused = [0.0] * len(settings.kinds)  # as the lanes', over all calls to a kind
         self.reaped = 0  # calls lost on idle connections
         self.hold = 1e5  # as the lanes', over all calls
