Ask an overbooked discovery again by what the whole fleet asks of it

The killed couriers started from the list they were given and never learnt of the release of the endpoints: 34 of 40 had the destinations with replaced endpoints in trouble to the end, 50 to 100 refused connections a second, up to 390 messages queued for one destination. What one courier asks, 1.6 times a second, is harmless; forty together keep discovery too busy to answer any of them.

Lines at fault: discovery.py, AGAIN_S, a ceiling of 1 s whatever the size of the fleet. The ceilings now grow with the number of couriers: what all ask together stays where five couriers are.

Ruled out: discovery being down for that time: with ceilings of 1 to 16 s, as a probe, 36 asks were answered from second 14 on.

--- a/hopmill/net/discovery.py
+++ b/hopmill/net/discovery.py
@@ -15,6 +15,9 @@
 SILENCE_S = 3.2  # an empty line comes every 2 s: after this the watch is taken for dead
 CONNECT_S = 1.0
 AGAIN_S = (0.1, 1.0)  # first and longest ceiling of the wait before the next try
+# And of a watch, for each courier of the fleet, where that is more: what all of them ask must fit into what
+# discovery can answer, or nobody is answered.
+AGAIN_EACH_S = (0.05, 0.2)
 NOTICE_S = 1.0  # a notice is answered at once: after this it is sent again
 MAX_LINE = 1 << 24  # bytes of one line of the watch
 BATCH = 200  # notices in one request
@@ -24,16 +27,18 @@
 class Backoff:
     """Full jitter below a doubling ceiling, with a floor so that it never spins."""
 
-    def __init__(self) -> None:
-        self.ceiling = AGAIN_S[0]
+    def __init__(self, couriers: int = 1) -> None:
+        self.first, self.longest = (max(s, each * couriers)
+                                    for s, each in zip(AGAIN_S, AGAIN_EACH_S, strict=True))
+        self.ceiling = self.first
 
     def next(self) -> float:
         wait = random.uniform(self.ceiling / 4, self.ceiling)
-        self.ceiling = min(AGAIN_S[1], self.ceiling * 2)
+        self.ceiling = min(self.longest, self.ceiling * 2)
         return wait
 
     def reset(self) -> None:
-        self.ceiling = AGAIN_S[0]
+        self.ceiling = self.first
 
 
 class Link:
@@ -100,8 +105,9 @@
     """Follows the list of endpoints from the last version on."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, rev: int,
-                 told: Callable[[dict[str, Any]], None]) -> None:
+                 told: Callable[[dict[str, Any]], None], couriers: int = 1) -> None:
         super().__init__(loop, address)
+        self.backoff = Backoff(couriers)
         self.rev, self.told = rev, told
         self.tail, self.status = b"", 0
 
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -83,7 +83,7 @@
         self.clients = ClientServer(self.put, max(8, int(config.sockets * CLIENT_SHARE)),
                                     self.not_ready)
         self.notices = Notices(loop, config.discovery, self._accepted)
-        self.watch = Watch(loop, config.discovery, config.known["rev"], self.listed)
+        self.watch = Watch(loop, config.discovery, config.known["rev"], self.listed, self.s.couriers)
 
     async def start(self) -> int:
         """Alone: nobody else serves. Returns the port."""
