--- a/hopmill/health.py
+++ b/hopmill/health.py
@@ -32,6 +32,7 @@
 REAP, REGROW = 0.5, 1.25  # idle connections are trusted for this part of the age at which one failed
 SILENT_MEMORY = 1 / 32  # weight of the newest call in the shares that go unanswered
 LOST_NEW_X, LOST_FEW = 1.5, 0.05  # kept connections lose more than new ones from this multiple and share on
+THIN_X = 16  # couriers for each slot of one: at 10 every part of what follows from it was measured to lose
 HOLD_FADE_US = 2_000_000  # time in which what a lane's slots were seen to be held for fades to its latency
 FRESH_US = 1_000_000  # an endpoint that answered this lately is not down: a failed connect is a full table
 SPELL_US = 1_000_000  # trouble that lasted no longer than this, with answers before and after, was no outage
@@ -115,8 +116,9 @@
         self.s, self.random, self.cap = settings, chance, cap
         self.now, self.start = 0, -1
         self.burst = BURST_PRICED_S if settings.refused_price else BURST_S
-        # Many small couriers: each meets a destination so rarely that its equal part of anything says little.
-        self.thin = settings.couriers > settings.slots
+        # Hundreds of small couriers: each meets a destination so rarely that its equal part of anything says
+        # little, and that its own calls never gather the evidence. Ten to a slot are not that many.
+        self.thin = settings.couriers > THIN_X * settings.slots
         self.keep = settings.connection_idle_us  # idle connections are used up to this age
         self.refused = [0.0] * len(settings.kinds)  # as the lanes', over all calls to a kind
         self.reaped = 0  # calls lost on idle connections
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,8 +5,8 @@
 
 from hopmill.brain import Courier
 from hopmill.interface import (
-    AttemptEnded, CloseIdle, EndpointsListed, EndpointState, Fail, Kind, ListEntry, ListForm, MessageArrived,
-    Refuse, Result, Send, Settings)
+    AttemptEnded, CloseIdle, EndpointsListed, EndpointState, Fail, Kind, ListEntry, ListForm, LoadReported,
+    MessageArrived, Refuse, Result, Send, Settings)
 
 
 def fleet(**changes):
@@ -224,3 +224,34 @@
 def test_impossible_fleets_are_named(field, change):
     with pytest.raises(ValueError, match=field):
         Settings(**{"classes": CLASSES, "slots": 2, "max_held": 4, **change})
+
+
+def forty(**changes):
+    return Host(**{"couriers": 40, "slots": 4, "report_fields": ("x0", "x1"), **changes})
+
+
+def test_an_endpoint_that_has_gone_closes_no_others_of_its_destination_at_forty_couriers():
+    h = forty(endpoints=2)
+    for _ in range(6):  # each is tried again elsewhere until the one is known for what it is
+        for a in of(Send, h.arrive(after=S)):
+            h.end(a.message, Result.CONNECT_FAILED if a.endpoint == 100 else Result.OK, endpoint=a.endpoint)
+        for a in of(Send, h.idle(1)):
+            h.end(a.message, Result.CONNECT_FAILED if a.endpoint == 100 else Result.OK, endpoint=a.endpoint)
+    h.courier.endpoints[100].c.open, h.courier.endpoints[100].c.trial_at = True, h.now + 60 * S
+    assert not h.courier.endpoints[101].c.open
+    assert [a.endpoint for a in of(Send, h.arrive(after=S))] == [101]
+
+
+@pytest.mark.parametrize("couriers, paced", [(2, True), (40, True), (400, False)])
+def test_a_told_limit_paces_at_once_where_a_courier_has_a_part_of_it_that_says_something(couriers, paced):
+    h = Host(couriers=couriers, slots=4, report_fields=("x0", "x1"))
+    h.do(LoadReported(100, (0.5, 40.0)))
+    lane = h.courier.endpoints[100].lane
+    assert lane.listed == 40.0 / couriers and lane.rate == (lane.listed if paced else 0.0)
+
+
+def test_one_lost_connection_opens_no_circuit_at_forty_couriers():
+    h = forty()
+    h.arrive()
+    h.end(1, Result.CONNECT_FAILED)
+    assert not h.courier.endpoints[100].c.open
