Rank alike endpoints in an order of each courier's own, by chance

Line at fault: brain.py, _rank: among equals the lowest number, and the number is the order in the list, which is the same at all couriers. One courier fills one endpoint with nobody's harm; forty fill the same one. Each courier now draws its order when it hears of the endpoint, and still prefers one where it has a connection.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -246,7 +246,7 @@
         dest.kind = min(entry.kind, len(self.s.kinds) - 1)
         if not dest.lanes or self.s.kinds[dest.kind].routes_apart:
             dest.lanes.append(Lane(dest, Circuit() if self.thin else None))
-        ep = Endpoint(entry.endpoint, dest.lanes[-1], entry.zone)
+        ep = Endpoint(entry.endpoint, dest.lanes[-1], entry.zone, self.random.random())
         ep.lane.endpoints[ep.id] = self.endpoints[ep.id] = ep
         return ep
 
@@ -540,9 +540,9 @@
         """Healthy first, then not the one that just failed, one with an idle connection, the cheap one."""
         fee = self.s.zone_fees[ep.zone] if ep.zone < len(self.s.zone_fees) else 0.0
         warm = any(t > self.now - self.health.keep for t in ep.idle)
-        if self.thin:  # couriers that rank alike pile onto one endpoint or route: by chance, as the rates are
+        if self.thin:  # by chance, as the rates of the routes are
             fee = self.random.expovariate((ep.lane.listed or 1.0) * (1.05 - ep.lane.refused))
-        return (ep.c.open, ep is m.last, int(ep.bad * 4), not warm, fee, len(ep.out), ep.id)
+        return (ep.c.open, ep is m.last, int(ep.bad * 4), not warm, fee, len(ep.out), ep.turn)
 
     def _pump(self) -> None:
         """Send what the gate lets through, the most urgent first, while slots are free."""
--- a/hopmill/health.py
+++ b/hopmill/health.py
@@ -64,8 +64,9 @@
 class Endpoint:
     """One endpoint and what its calls showed."""
 
-    def __init__(self, ident: int, lane: Lane, zone: int) -> None:
+    def __init__(self, ident: int, lane: Lane, zone: int, turn: float) -> None:
         self.id, self.lane, self.zone = ident, lane, zone
+        self.turn = turn  # its place among equals, by chance: couriers that rank alike pile onto one endpoint
         self.state = EndpointState.READY
         self.cordoned = False  # by the operators
         self.out: dict[int, Call] = {}  # calls in flight, oldest first
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -255,3 +255,23 @@
     h.arrive()
     h.end(1, Result.CONNECT_FAILED)
     assert not h.courier.endpoints[100].c.open
+
+
+def test_the_first_calls_of_forty_couriers_spread_over_a_destinations_endpoints():
+    first = {}
+    for seed in range(40):
+        c = Courier(Settings(classes=CLASSES, slots=4, max_held=50, couriers=40, me=seed), seed)
+        acts = c.handle(S, [EndpointsListed(ListForm.CACHED, tuple(entry(100 + n) for n in range(4))),
+                            MessageArrived(1, 0, 1, 9 * S)])
+        first.setdefault(of(Send, acts)[0].endpoint, []).append(seed)
+    assert len(first) == 4 and max(map(len, first.values())) < 20
+
+
+def test_a_courier_keeps_to_the_connection_it_has_among_equal_endpoints():
+    h = forty(endpoints=4)
+    used = set()
+    for _ in range(10):
+        (a,) = of(Send, h.arrive(after=100_000))
+        used.add(a.endpoint)
+        h.end(a.message, Result.OK, endpoint=a.endpoint)
+    assert len(used) == 1  # one more would cost a handshake, and a place in its table of connections
