--- a/tests/test_quiesce.py
+++ b/tests/test_quiesce.py
@@ -27,7 +27,9 @@
     again = await Client().open(fleet.port_of_host())  # the listener still answers
     assert (await again.send(PING)).startswith("-")
     assert await bounded(again.reader.read()) == b""
-    got = {(await e.call())[1]["x-request-id"] for _ in range(3)}
+    got = set()
+    while len(got) < 3:  # the one that hangs is sent again, at a time that chance sets
+        got.add((await e.call())[1]["x-request-id"])
     assert got == {"before", "late", "later"}
     assert fleet.host.clients.listening and not fleet.host.closed.done()
 
