Share a slow start among the endpoints in use, and end it at the full rate

And a start at the full rate went on for three seconds more, as a pace without any room to catch up.

Lines at fault: brain.py, _free, which divides by all endpoints that the list calls ready; health.py, succeeded, which ended a start only after the whole cold time.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -442,7 +442,7 @@
                 self._wake(ep.c.trial_at)
                 return False
         elif ep.c.ramp_from >= 0:
-            ready = sum(1 for x in lane.endpoints.values() if x.state is EndpointState.READY)
+            ready = sum(1 for x in lane.endpoints.values() if x.state is EndpointState.READY and not x.c.open)
             # The base may be from before a limit was told: a restart in an outage knows no traffic to go by.
             rate = self.health.warm(ep.c) * max(ep.c.base, lane.listed) / (1 if self.thin else ready)
             rate = max(rate, 0.001 if self.thin else 0.05)
--- a/hopmill/health.py
+++ b/hopmill/health.py
@@ -264,7 +264,7 @@
                     ep.c.tokens = 1.0
                 self.actions.append(Log(f"endpoint {ep.id} answers again: slow start"))
             ep.c.gap, ep.c.bad = 0, min(ep.c.bad, STRUCK * 0.8)
-        elif 0 <= ep.c.ramp_from <= now - self.s.cold_us or self.thin and self.warm(ep.c) >= 1:
+        elif 0 <= ep.c.ramp_from <= now - self.s.cold_us or ep.c.ramp_from >= 0 and self.warm(ep.c) >= 1:
             ep.c.ramp_from = -1
 
     def overloaded(self, lane: Lane, told: int) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -275,3 +275,36 @@
         used.add(a.endpoint)
         h.end(a.message, Result.OK, endpoint=a.endpoint)
     assert len(used) == 1  # one more would cost a handshake, and a place in its table of connections
+
+
+def test_a_slow_start_is_shared_by_the_endpoints_in_use():
+    sent = []
+    for shut in (False, True):
+        h = forty(endpoints=2, slots=8)
+        h.do(LoadReported(100, (0.9, 40.0 * 4)))  # a part of 4 a second, paced no slower
+        for n in (100, 101):
+            c = h.courier.endpoints[n].c
+            c.base, c.ramp_from, c.stamp, c.tokens = 4.0, h.now, h.now, 0.0
+        if shut:  # nothing goes there: its share of the start is no use to it
+            c.open, c.ramp_from, c.trial_at = True, -1, h.now + 60 * S
+        count, sends = 0, []
+        for _ in range(160):
+            sends += of(Send, h.arrive(after=50_000))
+            while sends:
+                a, count = sends.pop(), count + 1
+                sends += of(Send, h.end(a.message, Result.OK, endpoint=a.endpoint, after=0))
+        sent.append(count)
+    assert sent[0] > 15 and sent[1] > 0.8 * sent[0]
+
+
+def test_a_slow_start_is_over_when_it_is_at_the_full_rate():
+    h = forty()
+    c = h.courier.endpoints[100].c
+    c.ramp_from, c.base = h.now, 10.0
+    full = (1 / (0.8 * h.courier.s.fall_multiple) - 0.1) / 0.9 * 10  # seconds, of a cold time of 10
+    h.arrive(after=int((full - 0.5) * S))
+    h.end(h.next, Result.OK, after=1)
+    assert c.ramp_from >= 0
+    h.arrive(after=S)
+    h.end(h.next, Result.OK, after=1)
+    assert c.ramp_from < 0
