Take the pace back to the courier's part once x0 shows that the limit is used up

Each refusal is priced and ends its message, and the client hands it in again. x0, the share that is left for all, was below 0.1 to 0.3 then in every courier's answers, and read by nobody.

Line at fault: brain.py, _reported, which read x1 alone. With less than a tenth left a courier now takes its part at most. Nothing else changes: a pace below the part is not raised, and with room left it grows as before. A report whose x0 or x1 lacks, is negative or is not finite is not heeded.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -23,6 +23,7 @@
 DESERTED = 20  # after this many refusals with no client coming again, clients are taken not to do so
 WINDOW_SHARE = 0.75  # a destination's calls stay under this share of the slots
 LIMIT = "x1"  # the report's name for a limit, in calls a second from all couriers together
+LEFT = "x0"  # and for the share of it that is left just now, for all of them
 PATIENCE = 0.5  # what would wait for its pace over this part of its life is handed back
 ROOM = 2  # places kept free for new messages
 SHED = 0.9  # at most this share of new messages is refused unsent
@@ -230,8 +231,8 @@
 
     def _reported(self, e: LoadReported) -> None:
         ep, told = self.endpoints.get(e.endpoint), dict(zip(self.s.report_fields, e.values, strict=False))
-        if ep and told.get(LIMIT, 0.0) > 0 and not self.s.rates_listed:
-            self.health.limited(ep.lane, told[LIMIT] / self.s.couriers)
+        if ep and 0 < told.get(LIMIT, 0.0) < math.inf and not self.s.rates_listed:
+            self.health.limited(ep.lane, told[LIMIT] / self.s.couriers, told.get(LEFT, -1.0))
 
     def _forget(self, ep: Endpoint) -> None:
         """It has gone and no call is out there any more: replacements would pile up."""
--- a/hopmill/health.py
+++ b/hopmill/health.py
@@ -19,6 +19,7 @@
 CUT = 0.75  # on overload the rate shrinks by this, once a round trip
 GROW = 0.1  # and a success adds this share of the listed (or first learned) rate
 NEAR, CALM_US = 0.9, 5_000_000  # near the last refused pace it grows slowly, until this long after
+SCARCE = 0.1  # with less of the limit than this left for all, its part is what a courier may take
 FLOOR = 0.4  # but a listed rate is not left further than this behind
 # Health of an endpoint.
 MEMORY = 0.25  # weight of the newest outcome in the failing share
@@ -288,7 +289,7 @@
         self.fill(lane)
         lane.tokens, lane.stamp = min(lane.tokens, 1.0), max(now, lane.wait_until)
 
-    def limited(self, lane: Lane, part: float) -> None:
+    def limited(self, lane: Lane, part: float, left: float) -> None:
         """This courier's part of the limit was told: the pace keeps its share of it. Refusals alone tell late
         of a limit that fell, and not at all of one that rose."""
         if not lane.listed:
@@ -296,6 +297,8 @@
         else:
             lane.rate, lane.brink = lane.rate * part / lane.listed, lane.brink * part / lane.listed
         lane.listed = part
+        if 0 <= left < SCARCE:  # more than that is taken from the others: each would learn it by a refusal
+            lane.rate = min(lane.rate, part)
 
     def dirt(self, ep: Endpoint) -> float:
         return ep.dirty * max(0.0, 1 - (self.now - ep.dirty_at) / max(1.0, DIRTY_FADE * self.s.cold_us))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -308,3 +308,52 @@
     h.arrive(after=S)
     h.end(h.next, Result.OK, after=1)
     assert c.ramp_from < 0
+
+
+def told(h, left, limit, endpoint=100):
+    h.do(LoadReported(endpoint, (left, limit)))
+    return h.courier.endpoints[100].lane
+
+
+@pytest.mark.parametrize("couriers", [1, 3, 40])
+def test_a_limit_that_is_used_up_leaves_each_courier_its_part(couriers):
+    h = Host(couriers=couriers, slots=4, report_fields=("x0", "x1"))
+    told(h, 0.6, 40.0).rate = 40.0  # it took what the others left
+    assert told(h, 0.3, 40.0).rate == 40.0
+    assert told(h, 0.05, 40.0).rate == 40.0 / couriers
+    told(h, 0.05, 40.0).rate = 0.5 * 40 / couriers  # refused before: it is not raised
+    assert told(h, 0.0, 40.0).rate == 0.5 * 40 / couriers
+
+
+@pytest.mark.parametrize("left", [float("nan"), float("inf"), -float("inf"), -0.5])
+def test_a_share_left_that_makes_no_sense_changes_nothing(left):
+    h = forty()
+    told(h, 0.6, 40.0).rate = 3.0
+    assert told(h, left, 40.0).rate == 3.0 and told(h, left, 40.0).listed == 1.0
+
+
+@pytest.mark.parametrize("limit", [float("nan"), float("inf"), -float("inf"), -40.0, 0.0])
+def test_a_limit_that_makes_no_sense_changes_nothing(limit):
+    h = forty()
+    told(h, 0.6, 40.0).rate = 3.0
+    lane = told(h, 0.0, limit)
+    assert (lane.rate, lane.listed) == (3.0, 1.0)
+
+
+@pytest.mark.parametrize("fields, values", [(("x1",), (80.0,)), ((), ()), (("x0", "x1"), (0.05,)),
+                                            (("x0",), (0.0,)), (("x0", "x1"), (0.05, 80.0, 7.0))])
+def test_a_report_that_lacks_a_value_or_has_one_too_many_is_read_as_far_as_it_goes(fields, values):
+    h = forty(report_fields=fields)
+    h.do(LoadReported(100, values))
+    lane = h.courier.endpoints[100].lane
+    assert lane.listed == (2.0 if 80.0 in values else 0.0) and lane.rate == lane.listed
+
+
+@pytest.mark.parametrize("times", [0.1, 10.0])
+def test_a_limit_that_changes_ten_times_at_once_takes_the_pace_along(times):
+    h = forty()
+    told(h, 0.6, 40.0).rate = 1.5
+    lane = told(h, 0.6, 40.0 * times)
+    assert lane.listed == pytest.approx(times) and lane.rate == pytest.approx(1.5 * times)
+    sends = sum(len(of(Send, h.arrive(after=1000))) for _ in range(200))
+    assert sends <= 4  # no burst beyond its slots either way
