Go on without upgrades where a Unix socket or a lock is refused

Lines at fault: handover.py, Successor.ask, whose socket was made outside the try, so that a refused one ended the start; state.py, _lock, which took only a lock held by another for an answer. Each is now one line in the log. A lock that fails for another reason, as on a broken disk, still ends the start.

--- a/hopmill/net/handover.py
+++ b/hopmill/net/handover.py
@@ -309,12 +309,14 @@
 
     async def ask(self) -> bool:
         """Whether all was handed on; then it is here, and the lock is about to be free."""
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        sock = None
         try:
+            sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
             with reachable(self.path) as name:
                 sock.connect(name)
-        except OSError as error:
-            sock.close()
+        except OSError as error:  # there is no such socket, or the platform refuses them
+            if sock is not None:
+                sock.close()
             log.info("handover: %s: %s", self.path, error)
             return False
         self.channel = Channel(self.loop, sock, self._told, self._lost)
--- a/hopmill/net/state.py
+++ b/hopmill/net/state.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import fcntl
 import logging
 import os
@@ -28,6 +29,7 @@
 OVER_S = 2.0  # how long the id of a message that is over is known past its time
 KEYS_S = 2.0  # and an idempotency key past its window
 SMALL = 1 << 17  # a file under this is not worth compacting
+UNLOCKABLE = (errno.ENOSYS, errno.ENOLCK, errno.EOPNOTSUPP)  # the platform has no locks
 log = logging.getLogger(__name__)
 
 
@@ -165,6 +167,11 @@
         except BlockingIOError:
             os.close(lock)
             raise Taken("another process has the journal") from None
+        except OSError as error:
+            if error.errno not in UNLOCKABLE:
+                os.close(lock)
+                raise
+            log.error("no locks here, so no upgrades: %s", error)
         self.lock = lock
 
     def reacquire(self) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import errno
+import fcntl
 import json
 import os
 import signal
@@ -452,6 +454,54 @@
     assert other.sock is None and (deep / "file").read_text() == "kept"
 
 
+@pytest.mark.parametrize("refused", [errno.EPERM, errno.ENOSYS, errno.EMFILE, errno.EAFNOSUPPORT])
+def test_a_refused_unix_socket_costs_the_upgrade_alone(tmp_path, monkeypatch, caplog, refused):
+    real = socket.socket
+
+    def refuse(family=-1, *rest, **kw):
+        if family == socket.AF_UNIX:
+            raise OSError(refused, "refused")
+        return real(family, *rest, **kw)
+
+    @courier
+    async def serve(fleet):
+        e = await fleet.endpoint("a")
+        client = await fleet.inside()
+        monkeypatch.setattr(h.socket, "socket", refuse)
+        loop = asyncio.get_running_loop()
+        predecessor = h.Predecessor(loop, fleet.host, tmp_path / "hand.sock")
+        predecessor.listen()
+        assert predecessor.sock is None
+        assert not await bounded(h.Successor(loop, tmp_path / "hand.sock", print, print).ask())
+        assert await client.put("m") == "+OK" and (await e.call())[1]["x-request-id"] == "m"
+        predecessor.close()
+
+    with caplog.at_level("INFO"):
+        serve(tmp_path)
+    assert sum("refused" in r.getMessage() for r in caplog.records) == 2  # a line each
+
+
+@pytest.mark.parametrize("code", [errno.ENOSYS, errno.ENOLCK, errno.EOPNOTSUPP])
+def test_where_there_are_no_locks_the_journal_is_used_without(tmp_path, monkeypatch, caplog, code):
+    def refuse(fd, how):
+        raise OSError(code, "refused")
+
+    monkeypatch.setattr(fcntl, "flock", refuse)
+    journal = Journal(tmp_path, 1_000_000, 5.0)
+    journal.acquire()
+    assert journal.held == {} and "no locks here" in caplog.text
+    journal.close()
+
+
+def test_a_lock_that_fails_otherwise_is_no_reason_to_go_on(tmp_path, monkeypatch):
+    def fail(fd, how):
+        raise OSError(errno.EIO, "broken disk")
+
+    monkeypatch.setattr(fcntl, "flock", fail)
+    with pytest.raises(OSError, match="broken disk"):
+        Journal(tmp_path, 1_000_000, 5.0).acquire()
+
+
 def test_couriers_that_share_a_folder_have_sockets_of_their_own(tmp_path):
     (tmp_path / "a").mkdir()
     paths = {h.socket_path({"TMPDIR": "/t"}, tmp_path / name) for name in ("a", "b")}
