Count the call that first tells a limit against the courier's part of it

Started couriers know no limit, send one call to each destination, learn the limit with its answer and then had a whole token of it on top: 40 first calls and 40 tokens within a second, against limits of 24 to 50 calls a second. One courier's second call is harmless.

Line at fault: health.py, limited: the pace began with the bucket full, though the call that told it had been sent.

Ruled out: the restored journals: 0 to 3 messages a courier.

--- a/hopmill/health.py
+++ b/hopmill/health.py
@@ -294,6 +294,7 @@
         of a limit that fell, and not at all of one that rose."""
         if not lane.listed:
             lane.rate = lane.brink = 0.0 if self.thin else part
+            lane.tokens, lane.stamp = 0.0, self.now  # the call that told it was the first of its part
         else:
             lane.rate, lane.brink = lane.rate * part / lane.listed, lane.brink * part / lane.listed
         lane.listed = part
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -357,3 +357,27 @@
     assert lane.listed == pytest.approx(times) and lane.rate == pytest.approx(1.5 * times)
     sends = sum(len(of(Send, h.arrive(after=1000))) for _ in range(200))
     assert sends <= 4  # no burst beyond its slots either way
+
+
+def test_couriers_that_start_together_send_their_first_calls_and_then_their_part():
+    couriers, limit = 40, 40.0
+    given = dict(classes=CLASSES, slots=4, max_held=100, max_attempts=12, report_fields=("x0", "x1"),
+                 couriers=couriers, tick_us=5000)
+    now, counts = 1000 * S, [0, 0]
+    all_ = [Courier(Settings(me=k, **given), k) for k in range(couriers)]
+    out = {}
+    for k, c in enumerate(all_):  # restored, or come while all were being started
+        news = [EndpointsListed(ListForm.CACHED, (entry(100),))]
+        news += [MessageArrived(n, 0, 1, now + 10 * S) for n in range(1, 7)]
+        out[k] = of(Send, c.handle(now, news))
+    for step in range(200):  # 2 s; an answer takes 100 ms and tells the limit
+        now += 10_000
+        for k, c in enumerate(all_):
+            news = []
+            for a in out.pop(k, []) if step % 10 == 9 else []:
+                counts[step >= 100] += 1
+                news += [LoadReported(100, (0.5, limit)), AttemptEnded(
+                    a.message, c.messages[a.message].tries - 1, 100, Result.OK, 100_000, True, 0)]
+            out.setdefault(k, []).extend(of(Send, c.handle(now, news)))
+    assert couriers <= counts[0] <= 1.2 * couriers  # else a part comes on top of each
+    assert counts[1] >= 0.7 * limit
