--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,8 +1,9 @@
-"""What a watch does when discovery turns it away; no sockets and no clock needed."""
+"""What a watch does when discovery turns it away or says little, and a courier without it."""
 
 import random
 
 import pytest
+from loopback import courier
 
 from hopmill.net.discovery import Watch
 
@@ -71,3 +72,68 @@
     w.rev = 5
     w.data(line + b"\n")
     assert w.rev == 0 and w.loop.delay >= 0.5
+
+
+def told_by(*pieces, rev=4):
+    """What a watch tells of these pieces of an answer, and the watch."""
+    told = []
+    w = Watch(Loop(), ("127.0.0.1", 1), rev, told.append, 40)
+    for piece in pieces:
+        w.data(piece)
+    return told, w
+
+
+def test_a_list_that_is_cut_is_not_told_and_asked_for_again_from_the_version_held():
+    told, w = told_by(b'{"rev":5,"all":false,"targets":[]}\n', b'{"rev":6,"all":true,"targets":[{"uid":"a"')
+    w.lost(True)
+    assert [c["rev"] for c in told] == [5] and w.rev == 5 and w.loop.delay >= 0.5
+
+
+def test_a_list_that_comes_in_pieces_is_told_whole():
+    told, w = told_by(b'{"rev":6,"all":fal', b'se,"targets":[', b"]}\n\n\n")
+    assert told == [{"rev": 6, "all": False, "targets": []}] and w.rev == 6
+
+
+@courier
+async def test_a_list_that_is_repeated_or_older_changes_nothing_that_serves(fleet):
+    e = await fleet.endpoint("a")
+    client = await fleet.inside()
+    whole = fleet.discovery.whole()
+    for n, change in enumerate((whole, whole, {**whole, "rev": 0})):
+        fleet.host.listed(change)
+        assert await client.put(f"m{n}") == "+OK"
+        assert (await e.call())[1]["x-request-id"] == f"m{n}"
+    assert len(fleet.host.entries) == 1 and len(fleet.host.courier.endpoints) == 1
+
+
+def without_discovery(how):
+    async def silent(reader, writer):
+        await reader.read()
+
+    async def prepare(fleet):
+        if how == "silent":
+            fleet.discovery.serve = silent
+        else:
+            await fleet.discovery.stop()
+    return prepare
+
+
+@pytest.mark.parametrize("how", ["silent", "gone"])
+def test_a_courier_starts_and_starts_again_without_discovery(tmp_path, how):
+    @courier
+    async def run(fleet):
+        e = await fleet.endpoint("a", "hang")
+        await without_discovery(how)(fleet)
+        client = await fleet.inside()
+        assert await client.put("first") == "+OK"
+        await e.call()
+        fleet.host.close()  # as SIGKILL leaves it: what is open is in the journal alone
+        client = await fleet.inside()
+        assert await client.put("second") == "+OK"
+        got = set()
+        while len(got) < 2:
+            got.add((await e.call())[1]["x-request-id"])
+        assert got == {"first", "second"}
+        assert not fleet.host.heard.is_set()
+
+    run(tmp_path)
