Let the message with the most time lead its bundle

At fault: Host._call, which took the items in the order of arrival, the oldest first, while X-Timeout-Ms and the wait go by the longest.

--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -380,6 +380,9 @@
             self._call(a.endpoint, [item])
 
     def _call(self, endpoint: int, items: list[Item]) -> None:
+        # A bundle is one call, waited for as long as its first message: led by one whose time is up sooner,
+        # it counts as given up while the others are still waited for.
+        items = sorted(items, key=lambda item: -self.journal.held[item.number].until)
         longest = max(item.timeout_us for item in items)
         fresh = max(item.fresh_timeout_us for item in items)
         for item in items:
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -1,6 +1,7 @@
 """The courier in this process, between scripted endpoints, discovery and clients."""
 
 import asyncio
+import json
 import time
 from dataclasses import replace
 
@@ -106,6 +107,27 @@
     assert "b1" in fleet.host.journal.over
 
 
+@courier
+async def test_the_message_with_the_most_time_leads_its_bundle(fleet):
+    # The call lasts as long as that one may wait. Led by one whose time is up sooner, it counts as given up
+    # from then on, and an answer that still comes delivers none of the others.
+    e = await fleet.endpoint("a", answer(200), b"", dest=9, kind="bundles")
+    client = await fleet.inside()
+    await client.put("b0", dest=9)
+    await e.call()
+    lives = {"b1": 700, "b2": 5000, "b3": 2000}
+    client.writer.write(b"".join(client.message(i, dest=9, life=life) for i, life in lives.items()))
+    assert [await client.line() for _ in lives] == ["+OK"] * 3
+    _, headers, body, _ = await e.call()
+    assert [row["id"] for row in json.loads(body)] == ["b2", "b3", "b1"]
+    assert (await fleet.discovery.final())["id"] == "b1"  # its own time is up, and the call goes on
+    rows = json.dumps([{"id": i, "state": "done"} for i in lives]).encode()
+    e.writers.copy().pop().write(answer(200, rows))
+    while fleet.host.journal.held:
+        await asyncio.sleep(0.01)
+    assert fleet.discovery.finals.empty() and e.calls.empty()
+
+
 @courier
 async def test_discovery_lost_and_back(fleet):
     await fleet.endpoint("a")
