--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -63,7 +63,7 @@
         self.until, self.born = event.valid_until_us, event.valid_until_us - cls.deadline_us
         self.dest: Destination
         self.tries, self.out = event.tries, 0
-        self.ran_at, self.ran_zone = event.ran_at_us, 0  # when and where the first that may have run was sent
+        self.ran_at, self.ran_zone = event.ran_at_us, event.ran_zone  # of the first that may have run
         self.ready_at = now
         self.last: Endpoint | None = None
         self.closed = self.streaming = self.quick = False
@@ -281,6 +281,8 @@
 
     def _spent(self, m: Message) -> bool:
         """Restored with no attempt left: its final answer is due at once."""
+        if m.ran_at >= 0 > m.ran_zone and m.cls.effect is Effect.KEYED and m.cls.key_scope != "all":
+            return True  # nobody knows where a repeat would be dropped
         end = m.ran_at + (m.cls.key_window_us if m.cls.effect is Effect.KEYED else 0) - self.margin
         return m.tries >= self.tries or m.ran_at >= 0 and m.cls.effect is not Effect.SAFE and self.now >= end
 
--- a/hopmill/interface.py
+++ b/hopmill/interface.py
@@ -195,6 +195,7 @@
     # Of a message restored after a restart, or whose key is known from an earlier one:
     tries: int = 0  # attempts so far
     ran_at_us: int = -1  # when the first attempt that may have run was sent
+    ran_zone: int = -1  # and the zone of its endpoint, -1 if that is not known
 
 
 @dataclass(frozen=True, slots=True)
--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -37,6 +37,7 @@
     timeout_us: int
     fresh_timeout_us: int = 0  # on a new connection, 0: the same
     fresh: bool = False  # only a new connection will do; then: it is on one
+    zone: int = -1  # the endpoint's
     begun: bool = False  # its first byte may have been written
     ended: bool = False
 
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -163,7 +163,7 @@
     def _arrival(self, m: Held) -> i.MessageArrived:
         ran = m.may_have_run_at
         return i.MessageArrived(m.number, m.cls, m.dest, self._mono(m.until), m.tenant, m.order,
-                                m.resubmitted, m.tries, self._mono(ran) if ran else -1)
+                                m.resubmitted, m.tries, self._mono(ran) if ran else -1, m.may_have_run_zone)
 
     # The turn
 
@@ -266,7 +266,8 @@
         now = time.time()
         self.numbers += 1
         m = Held(self.numbers, put.id, cls, tenant, put.dest, put.key, now + put.life_ms / 1e3,
-                 put.resubmitted, put.body, put.order, ran_at=self.journal.key_ran_at(put.key))
+                 put.resubmitted, put.body, put.order, ran_at=self.journal.key_ran_at(put.key),
+                 ran_zone=self.journal.keys.zone(put.key))
         self._replace(m)
         self.arrived[m.number] = (m, [reply])
         self.arriving[m.id] = m.number
@@ -277,7 +278,8 @@
         old = self.journal.held.get(self.journal.open_keys.get(m.key, 0))
         if old is None:
             return
-        m.ran_at = m.ran_at or old.may_have_run_at
+        if not m.ran_at:
+            m.ran_at, m.ran_zone = old.may_have_run_at, old.may_have_run_zone
         self.tell(i.MessageGone(old.number))
         last = self.attempts.get(old.number, 0) - 1
         self._end(old, "deferred", 0)
@@ -373,7 +375,8 @@
         if m is None or m.status:
             self.tell(i.AttemptEnded(a.message, attempt, a.endpoint, i.Result.MOOT, 0, m is None))
             return
-        item = Item(m.number, attempt, m.id, m.key, m.body, a.timeout_us, a.fresh_timeout_us, a.fresh)
+        zone = self.entries[a.endpoint].zone if a.endpoint in self.entries else -1
+        item = Item(m.number, attempt, m.id, m.key, m.body, a.timeout_us, a.fresh_timeout_us, a.fresh, zone)
         if self._batch(a.endpoint) > 1:
             bundles.setdefault(a.endpoint, []).append(item)
         else:
@@ -427,7 +430,7 @@
         if any(n.number not in self.journal.held for n in items):
             return False
         try:
-            self.journal.attempt([n.number for n in items], time.time())
+            self.journal.attempt([n.number for n in items], time.time(), items[0].zone)
         except OSError as error:
             log.error("journal: %s", error)
             return False
--- a/hopmill/net/state.py
+++ b/hopmill/net/state.py
@@ -60,11 +60,17 @@
     ran_at: float = 0.0  # start of the first attempt that may have run
     status: str = ""  # of its final notice, which is owed
     again_ms: int = 0
+    trying_zone: int = -1  # where these went, -1 if that is not known
+    ran_zone: int = -1
 
     @property
     def may_have_run_at(self) -> float:
         return self.ran_at or self.trying_at
 
+    @property
+    def may_have_run_zone(self) -> int:
+        return self.ran_zone if self.ran_at else self.trying_zone
+
     def record(self) -> list[Any]:
         return ["take", *(getattr(self, f.name) for f in fields(self))]
 
@@ -77,7 +83,7 @@
     """Remembers a text's time until it expires, by buckets of a second: nothing is ever searched for."""
 
     def __init__(self) -> None:
-        self.known: dict[str, tuple[float, float]] = {}  # text: its time, when it expires
+        self.known: dict[str, tuple[float, int, float]] = {}  # text: its time, its zone, when it expires
         self.buckets: dict[int, list[str]] = {}
         self.bytes = 0
 
@@ -91,10 +97,13 @@
         """The text's time, 0 if it is not known."""
         return self.known[text][0] if text in self.known else 0.0
 
-    def add(self, text: str, at: float, expires: float) -> None:
+    def zone(self, text: str) -> int:
+        return self.known[text][1] if text in self.known else -1
+
+    def add(self, text: str, at: float, expires: float, zone: int = -1) -> None:
         if text not in self.known:
             self.bytes += len(text) + MEMO
-        self.known[text] = at, expires
+        self.known[text] = at, zone, expires
         self.buckets.setdefault(int(expires) + 1, []).append(text)
 
     def drop(self, text: str) -> None:
@@ -104,7 +113,7 @@
     def expire(self, now: float) -> None:
         for bucket in [b for b in self.buckets if b <= now]:
             for text in self.buckets.pop(bucket):
-                if text in self.known and self.known[text][1] <= now:
+                if text in self.known and self.known[text][2] <= now:
                     self.drop(text)
 
 
@@ -215,9 +224,9 @@
             raise JournalFull(f"no room for {m.bytes} bytes")
         self._write(m.record())
 
-    def attempt(self, numbers: list[int], at: float) -> None:
+    def attempt(self, numbers: list[int], at: float, zone: int = -1) -> None:
         """An attempt of these is about to be written."""
-        self._write(["try", numbers, at])
+        self._write(["try", numbers, at, zone])
 
     def missed(self, number: int) -> None:
         """The newest attempt has proved that it never ran."""
@@ -291,10 +300,11 @@
         elif kind == "try":
             for number in record[1]:
                 if m := self.held.get(number):
-                    m.ran_at = m.may_have_run_at
+                    m.ran_at, m.ran_zone = m.may_have_run_at, m.may_have_run_zone
                     m.tries, m.trying_at = m.tries + 1, record[2]
+                    m.trying_zone = record[3] if len(record) > 3 else -1  # an older journal does not tell
                     if m.key:
-                        self._remember_key(m.key, m.may_have_run_at)
+                        self._remember_key(m.key, m.may_have_run_at, m.may_have_run_zone)
         elif kind == "miss":
             if m := self.held.get(record[1]):
                 m.trying_at = 0.0
@@ -319,8 +329,8 @@
             self.last = record[1]
             for ident, expires in record[2].items():
                 self.over.add(ident, expires, expires)
-            for key, at in record[3].items():
-                self._remember_key(key, at)
+            for key, ran in record[3].items():
+                self._remember_key(key, *(ran if isinstance(ran, list) else (ran, -1)))
 
     def end(self, m: Held, status: str, again_ms: int) -> None:
         """Only the notice is owed from now on."""
@@ -340,14 +350,14 @@
         at = self.keys.at(key)
         return at if time.time() - at < self.key_s else 0.0
 
-    def _remember_key(self, key: str, at: float) -> None:
+    def _remember_key(self, key: str, at: float, zone: int) -> None:
         if not self.key_ran_at(key):
-            self.keys.add(key, at, at + self.key_s)
+            self.keys.add(key, at, at + self.key_s, zone)
 
     def compact(self) -> None:
         """Write what is still needed into a new file and put it in the old one's place."""
-        over = {ident: expires for ident, (_, expires) in self.over.known.items()}
-        keys = {key: at for key, (at, _) in self.keys.known.items()}
+        over = {ident: expires for ident, (_, _, expires) in self.over.known.items()}
+        keys = {key: [at, zone] for key, (at, zone, _) in self.keys.known.items()}
         parts = [frame(["known", self.last, over, keys])]
         parts += [frame(["cordon", uid, True]) for uid in self.cordoned]
         for m in self.held.values():
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -41,6 +41,55 @@
     assert (await e.call())[1]["x-request-id"] == "next"
 
 
+def zoned(fleet):
+    """The keyed class drops repeats in one zone only; endpoints a and b of one destination are in two."""
+    fleet.raw["localities"] = ["here", "there"]
+    fleet.raw["classes"][1]["keyScope"] = "zone"
+    fleet.discovery.targets["b"]["az"] = "there"
+
+
+@courier
+async def test_after_sigkill_a_repeat_stays_in_the_zone_where_it_may_have_run(fleet):
+    b = await fleet.endpoint("b", "hang")
+    zoned(fleet)
+    client = await fleet.outside()
+    await client.put("m", kind="keyed", key="k")
+    await b.call()
+    await fleet.kill()
+    a = await fleet.endpoint("a")
+    await fleet.outside()
+    assert (await b.call())[1]["idempotency-key"] == "k"
+    assert a.calls.empty()
+
+
+@courier
+async def test_a_key_that_comes_again_stays_in_the_zone_where_it_may_have_run(fleet):
+    b = await fleet.endpoint("b")
+    zoned(fleet)
+    client = await fleet.inside()
+    await bounded(fleet.discovery.watches.get())
+    await client.put("m", kind="keyed", key="k")
+    await b.call()
+    a = await fleet.endpoint("a")
+    fleet.discovery.change("a", az="here")
+    while len(fleet.host.entries) < 2:
+        await asyncio.sleep(0.01)
+    fleet.host.journal.compact()  # it is kept in a compacted file too
+    await client.put("m2", kind="keyed", key="k")
+    assert (await b.call())[1]["x-request-id"] == "m2"
+    assert a.calls.empty()
+
+
+def test_a_journal_that_tells_no_zone_is_read(tmp_path):
+    m = Held(1, "m", 1, 0, 7, "k", time.time() + 9, False, b"x")
+    (tmp_path / "messages.journal").write_bytes(
+        frame(["known", 0, {}, {"old": time.time()}]) + frame(m.record()[:15]) + frame(["try", [1], 5.0]))
+    journal = Journal(tmp_path, 100_000, 9.0).acquire()
+    assert (journal.held[1].may_have_run_at, journal.held[1].may_have_run_zone) == (5.0, -1)
+    assert journal.key_ran_at("old") and journal.keys.zone("old") == -1
+    journal.close()
+
+
 @courier
 async def test_what_has_ended_does_not_come_again(fleet):
     e = await fleet.endpoint("a", answer(200), answer(429))
