Try first what a restart finds untried, and give none of it up for room

All of them ran out of time in the queue.

At fault: Courier._pick, which ranks by what is lost by waiting: an old message loses less than one that has just come, so what came anew took every call; and _make_room, which hands back the least worth first, the restored.

Restored and untried goes first now, the least time left before others; in a full courier what comes anew is turned away instead, before it is taken on.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -44,7 +44,8 @@
 ENDPOINT = ("cordoned", "bad", "dirty", "dirty_at", "last_ok", "most", "most_at")
 CIRCUIT = ("bad", "open", "trial_at", "gap", "ramp_from", "base", "tokens", "stamp")
 CALL = ("sent_at", "judged", "idle_us", "alone", "fresh", "crowded")
-MESSAGE = ("seq", "key", "tries", "ran_at", "ran_zone", "ready_at", "closed", "streaming", "quick", "weight")
+MESSAGE = ("seq", "key", "tries", "ran_at", "ran_zone", "ready_at", "closed", "streaming", "quick", "weight",
+           "restored")
 
 
 def taken(owner: object, names: tuple[str, ...]) -> list[Any]:
@@ -68,6 +69,12 @@
         self.last: Endpoint | None = None
         self.closed = self.streaming = self.quick = False
         self.weight = 1.0
+        self.restored = event.restored
+
+    @property
+    def first(self) -> bool:
+        """A restart has found it untried: what was taken on before goes before what comes anew."""
+        return self.restored and self.tries == 0
 
 
 class Courier:
@@ -274,7 +281,8 @@
         dest.queue.append(m)
         if m.key:
             self.keys.setdefault(m.key, []).append(m)
-        if self.thin and self.random.random() < self._refusal(dest, m.until - self.now) or self._spent(m):
+        chance = self._refusal(dest, m.until - self.now) if self.thin and not m.restored else 0.0
+        if chance and self.random.random() < chance or self._spent(m):
             self._finish(m, self.s.max_retry_after_us)
             return
         heapq.heappush(self.expiries, (m.until - self.margin, m.id))
@@ -425,7 +433,8 @@
             dest = max(self.dests.values(), key=lambda d: len(d.queue))
             if len(dest.queue) < 2:
                 return
-            self._finish(min(dest.queue, key=lambda m: (m.ran_at >= 0, self._value(m, self.now), -m.seq)), 0)
+            least = min(dest.queue, key=lambda m: (m.ran_at >= 0, m.first, self._value(m, self.now), -m.seq))
+            self._finish(least, 0)
 
     # The gate and the choice
 
@@ -521,7 +530,7 @@
 
         best = None
         for m in dest.queue:
-            key = loss(m), m.seq
+            key = (-math.inf, m.until) if m.first else (loss(m), m.seq)
             if (best is None or key < best[:2]) and (fit := [ep for ep in free if self._may(m, ep)]):
                 best = (*key, m, min(fit, key=lambda ep, m=m: self._rank(ep, m)))
         if best is None or self.s.kinds[dest.kind].batch == 1:
--- a/hopmill/interface.py
+++ b/hopmill/interface.py
@@ -192,6 +192,7 @@
     tenant: int = 0
     order_key: int = 0
     resubmitted: bool = False
+    restored: bool = False  # taken on before a restart: it is tried, and not given up for want of room
     # Of a message restored after a restart, or whose key is known from an earlier one:
     tries: int = 0  # attempts so far
     ran_at_us: int = -1  # when the first attempt that may have run was sent
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -132,7 +132,7 @@
             self.notices.add(m.number, m.id, m.status, m.again_ms)
             return
         if not known:
-            self.events.append(self._arrival(m))
+            self.events.append(self._arrival(m, restored=True))
         self._guard(m)
 
     def _inherit(self, given: dict[str, Any]) -> set[int]:
@@ -160,10 +160,11 @@
     def _mono(self, wall: float) -> int:
         return self.clock() + int((wall - time.time()) * 1e6)
 
-    def _arrival(self, m: Held) -> i.MessageArrived:
+    def _arrival(self, m: Held, restored: bool = False) -> i.MessageArrived:
         ran = m.may_have_run_at
         return i.MessageArrived(m.number, m.cls, m.dest, self._mono(m.until), m.tenant, m.order,
-                                m.resubmitted, m.tries, self._mono(ran) if ran else -1, m.may_have_run_zone)
+                                m.resubmitted, restored, m.tries, self._mono(ran) if ran else -1,
+                                m.may_have_run_zone)
 
     # The turn
 
