Guess no pace from a refusal where nothing was seen since the start

Seen: the test of a restart at a destination that refuses once with a wait of 0.3 s and then answers each call in 0.1 s: of 30 restored messages 6 were tried in 9 s, paced to half a call a second where no limit is told. Ruled out: the told wait (over after 0.3 s) and the window (one call at a time would be ten a second). At fault: Health.overloaded, max(0.5, seen * CUT) with seen at nothing.

--- a/hopmill/health.py
+++ b/hopmill/health.py
@@ -282,7 +282,7 @@
             elif self.thin:
                 lane.rate = lane.brink = lane.listed
                 lane.tokens, lane.stamp = self.random.random(), now
-            else:
+            elif lane.seen_at:  # nothing was seen since the start: the told wait and a window of one will do
                 lane.rate = max(0.5, lane.seen * CUT)
             lane.fulls += 1
         lane.wait_until = max(lane.wait_until, now + (told or self.backoff(lane.fulls)))
--- a/tests/test_restored.py
+++ b/tests/test_restored.py
@@ -57,6 +57,13 @@
     assert sorted(restarted.tried[:RESTORED]) == list(range(1, RESTORED + 1))
 
 
+@pytest.mark.parametrize("couriers", [SMALL, LARGE])
+def test_a_refusal_ends_the_one_that_got_it_and_the_others_are_tried_after_the_wait(couriers):
+    restarted = Restarted(couriers, 0, 9 * S, 100_000, Result.FULL, told=300_000)
+    assert len(restarted.run(9, fresh=1)) == RESTORED
+    assert [n for n in restarted.ended if n <= RESTORED] == [1]
+
+
 @pytest.mark.parametrize("couriers", [SMALL, LARGE])
 def test_what_comes_anew_finds_no_room_before_what_was_taken_on_is_given_up(couriers):
     # Nothing can be sent: the one endpoint is silent. Those that come are turned away, and none of before.
