Write no repeat after its key's window, whenever its connection comes up

At fault: Host._begin, which asked only whether the message is still held. And in the module a message whose window closed while it waited was kept to the end of its time, where no try may begin any more: Courier._ended and _expire knew only the deadline.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -285,14 +285,18 @@
         if chance and self.random.random() < chance or self._spent(m):
             self._finish(m, self.s.max_retry_after_us)
             return
-        heapq.heappush(self.expiries, (m.until - self.margin, m.id))
+        heapq.heappush(self.expiries, (self._last(m), m.id))
 
     def _spent(self, m: Message) -> bool:
         """Restored with no attempt left: its final answer is due at once."""
         if m.ran_at >= 0 > m.ran_zone and m.cls.effect is Effect.KEYED and m.cls.key_scope != "all":
             return True  # nobody knows where a repeat would be dropped
-        end = m.ran_at + (m.cls.key_window_us if m.cls.effect is Effect.KEYED else 0) - self.margin
-        return m.tries >= self.tries or m.ran_at >= 0 and m.cls.effect is not Effect.SAFE and self.now >= end
+        return m.tries >= self.tries or m.ran_at >= 0 and self.now >= self._last(m)
+
+    def _last(self, m: Message) -> int:
+        """Until when a try may begin: in its time and, once it may have run, as its class allows."""
+        window = {Effect.SAFE: math.inf, Effect.KEYED: m.cls.key_window_us, Effect.UNSAFE: 0}[m.cls.effect]
+        return min(m.until, m.ran_at + window if m.ran_at >= 0 else math.inf) - self.margin
 
     def come_back_us(self) -> int:
         """When to come again, for a message that the courier has no room for: spread by chance."""
@@ -376,15 +380,16 @@
         if m.out:
             return
         wait = 0 if e.result is Result.MOOT else self.health.backoff(m.tries - 1)
-        again = m.ran_at < 0 or m.cls.effect is not Effect.UNSAFE
         # Overload ends the message, passing on the told wait. But where clients mark what they hand in again
         # and many were refused with nothing coming back, a refusal is a loss: the message waits here instead.
         stays = self.s.clients_mark_retries and self.unreturned >= DESERTED and m.tries < self.tries
         if e.result is Result.FULL and not stays and not call.crowded:
             self._finish(m, e.retry_after_us)
-        elif m.tries >= self.tries or not again or self.now + wait >= m.until - self.margin:
+        elif m.tries >= self.tries or self.now + wait >= self._last(m):
             self._finish(m, 0)
         else:
+            if self._last(m) < m.until - self.margin:
+                heapq.heappush(self.expiries, (self._last(m), m.id))
             m.ready_at = self.now + wait
             m.quick = m.tries == 1 and e.latency_us < QUICK_US
             m.dest.queue.append(m)
@@ -424,7 +429,7 @@
             if m and not m.closed and not m.streaming:
                 if m.out and self.now < m.until:  # its attempt's time-out is due in a moment and answers
                     heapq.heappush(self.expiries, (m.until, m.id))
-                else:
+                elif m.out or self.now >= self._last(m):
                     self._finish(m, 0)
 
     def _make_room(self) -> None:
@@ -484,7 +489,7 @@
             if m.cls.effect is Effect.UNSAFE:
                 return False
             if m.cls.effect is Effect.KEYED:
-                if now >= m.ran_at + m.cls.key_window_us - self.margin:
+                if now >= self._last(m):
                     return False
                 if m.cls.key_scope == "zone" and ep.zone != m.ran_zone:
                     return False
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -428,7 +428,7 @@
         return ready and self.waits.get(self._wait_key(endpoint), 0) <= self.clock()
 
     def _begin(self, items: list[Item]) -> bool:
-        if any(n.number not in self.journal.held for n in items):
+        if any(n.number not in self.journal.held or self._repeats_late(n.number) for n in items):
             return False
         try:
             self.journal.attempt([n.number for n in items], time.time(), items[0].zone)
@@ -437,6 +437,13 @@
             return False
         return True
 
+    def _repeats_late(self, number: int) -> bool:
+        """Its connection came up so late that its key may be known no more."""
+        m = self.journal.held[number]
+        cls = self.s.classes[m.cls]
+        ran = m.may_have_run_at if cls.effect is i.Effect.KEYED else 0.0
+        return bool(ran) and time.time() >= ran + (cls.key_window_us - self.courier.margin) / 1e6
+
     def _ended(self, item: Item, endpoint: int, outcome: Outcome, latency: int) -> None:
         m = self.journal.held.get(item.number)
         over = outcome.over or m is None
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -69,6 +69,15 @@
     return [a for a in acts if isinstance(a, kind)]
 
 
+def test_one_whose_window_closes_while_it_waits_gets_its_answer_at_once():
+    h = Host()
+    h.arrive(cls=1)
+    h.do(EndpointsListed(ListForm.DELTA, (ListEntry(100, 1, EndpointState.DRAINING),)))
+    h.end(1, Result.RESET)
+    assert of(Refuse, h.idle(4.5)) == []
+    assert [a.message for a in of(Refuse, h.idle(0.5))] == [1]  # its window is 5 s, its time 10 s
+
+
 def test_first_message_goes_at_once():
     assert [a.endpoint for a in of(Send, Host().arrive())] == [100]
 
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -128,6 +128,28 @@
     assert fleet.discovery.finals.empty() and e.calls.empty()
 
 
+@courier
+async def test_a_repeat_is_not_written_on_a_connection_that_comes_up_after_the_window_of_its_key(fleet):
+    fleet.raw["classes"][1]["keyTtlUs"] = 700_000
+    e = await fleet.endpoint("a", "reset")
+    client = await fleet.inside()
+    calls, held = fleet.host.calls, []
+    connected, calls._connected = calls._connected, lambda *up: held.append(up)
+    await client.put("m", kind="keyed", key="k")
+    while len(held) < 1:
+        await asyncio.sleep(0.01)
+    connected(*held[0])
+    ran = time.time()
+    while len(held) < 2:  # the repeat's connection is up, but that is told only when the window is over
+        await asyncio.sleep(0.01)
+    while time.time() < ran + 0.7:
+        await asyncio.sleep(0.01)
+    connected(*held[1])
+    assert (await fleet.discovery.final())["id"] == "m"  # and at once: no try is left that may begin
+    assert time.time() < ran + 2
+    assert (await e.call())[1]["idempotency-key"] == "k" and e.calls.empty()
+
+
 @courier
 async def test_discovery_lost_and_back(fleet):
     await fleet.endpoint("a")
