Believe a 200 only once its first line is whole

Seen: a probe of the parser with 'HTTP/1.1 200 O' and the connection's end: the callback for the reason phrase comes as soon as a part of it is there, so a call whose answer was cut in its first line closed its message as delivered, and it got no final answer. Also the other way round: '200' with no reason phrase and nothing behind counted as spoilt. At fault: Answer.on_status, which took the call of httptools for the end of the line. The line is now looked for in the bytes; what is cut before its end may have run and nothing more is known.

--- a/hopmill/net/http.py
+++ b/hopmill/net/http.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import errno
+import re
 import socket
 from collections.abc import Callable, Sequence
 
@@ -22,6 +23,7 @@
 READ_BYTES = 1 << 16
 MAX_HEAD = 1 << 15  # bytes of an answer before its head is whole
 MAX_INTERIM = 16  # 1xx answers ahead of one
+FIRST_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})(?: [^\r\n]*)?\r?\n")
 
 
 class Exchange:
@@ -63,6 +65,7 @@
         self.begun = self.headed = self.whole = self.again = False
         self.more = self.copied = False  # something follows; and it is an answer too
         self.head_bytes = 0
+        self.unread = b""  # of what comes before the end of its first line
 
     @property
     def framed(self) -> bool:
@@ -75,13 +78,21 @@
 
     def on_status(self, _: bytes) -> None:
         self.copied = self.more
-        self._first_line()
 
-    def _first_line(self) -> None:
-        status = self.parser.get_status_code()
-        if not self.more and not self.status and status >= 200:
-            self.status = status
-            self.exchange.first_line(status)
+    def _first_line(self, data: bytes) -> None:
+        """Tell of it once it is whole: the parser gives a status out as soon as its digits have come."""
+        self.unread += data
+        while not self.status and (line := FIRST_LINE.match(self.unread)):
+            if int(line[1]) >= 200:
+                self._told(int(line[1]))
+            elif (end := self.unread.find(b"\r\n\r\n")) >= 0:  # an interim one
+                self.unread = self.unread[end + 4:]
+            else:
+                return
+
+    def _told(self, status: int) -> None:
+        self.status, self.unread = status, b""
+        self.exchange.first_line(status)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.more:
@@ -90,7 +101,8 @@
     def on_headers_complete(self) -> None:
         if self.more or self.parser.get_status_code() < 200:
             return
-        self._first_line()  # one with no reason phrase
+        if not self.status:
+            self._told(self.parser.get_status_code())
         self.headed = True
         self.exchange.head(self.status, self.headers)
 
@@ -108,6 +120,8 @@
 
     def feed(self, data: bytes) -> bool:
         """Whether it can still be read."""
+        if not self.status and len(self.unread) <= MAX_HEAD:
+            self._first_line(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
--- a/tests/test_spoilt.py
+++ b/tests/test_spoilt.py
@@ -9,6 +9,7 @@
 
 from hopmill.interface import Result
 from hopmill.net import calls as c
+from hopmill.net.http import Answer, Exchange
 
 OK = c.Outcome(Result.OK, over=True)
 MAY_HAVE_RUN = c.Outcome(Result.ERROR, spoilt=True)
@@ -22,6 +23,9 @@
     "503 with a body that is too short": b"HTTP/1.1 503 x\r\nContent-Length: 10\r\n\r\nno",
     "503 with a body that is too long": b"HTTP/1.1 503 x\r\nContent-Length: 2\r\n\r\nno room here",
     "410 with 3 GB": ENDLESS % 410,
+    "200 cut before its reason": b"HTTP/1.1 200",
+    "200 cut in its reason": b"HTTP/1.1 200 O",
+    "200 cut in the end of its line": b"HTTP/1.1 100 x\r\n\r\nHTTP/1.1 200 OK\r",
     "chunks that can't be read": b"HTTP/1.1 503 x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
     "noise": bytes(range(256)) * 4,
     "1xx without end": b"HTTP/1.1 102 x\r\n\r\n" * 100,
@@ -36,6 +40,7 @@
     "200, then a head that can't be read": (b"HTTP/1.1 200 OK\r\n\x00\x01\r\n\r\n", OK),
     "200, then 3 GB": (ENDLESS % 200, OK),
     "200, then nothing": (b"HTTP/1.1 200 OK\r\n", OK),
+    "200 with no reason, then nothing": (b"HTTP/1.1 100 x\r\nA: b\r\n\r\nHTTP/1.1 200\r\n", OK),
     "200 and noise": (answer(200) + b"\x00\x01noise", OK),
     "an end with no length": ("close", c.Outcome(Result.FULL)),
     "wait nan": (answer(429, Retry_After="nan"), c.Outcome(Result.FULL)),
@@ -80,6 +85,17 @@
     asyncio.run(run())
 
 
+def test_an_answer_in_single_bytes_is_read_alike():
+    # Its first line is told once, when it is whole, and not as soon as the digits are there.
+    data, told = b"HTTP/1.1 103 x\r\nA: b\r\n\r\n" + answer(200, b"body"), []
+    exchange = Exchange()
+    exchange.first_line = lambda status: told.append((status, fed))
+    parsed = Answer(exchange)
+    for fed in range(len(data)):
+        assert parsed.feed(data[fed:fed + 1])
+    assert told == [(200, data.index(b"200 x\r\n") + 6)] and parsed.whole
+
+
 def test_the_body_of_a_single_answer_is_not_kept():
     async def run():
         endpoint = await Endpoint(answer(200, b"x" * 60000)).start()
