Read and answer what crosses the close of a connection or the end of the process

Now listening ends after those that wait were taken up, the process ends after a last read and the turn that answers it, and every close between requests looks first.

--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -27,6 +27,7 @@
 IDLE_SHARE = 0.25  # of the places for clients is for those with no request open
 IDLE_S = 3.0  # a connection that was of use is kept for so long with no request open
 SWEEP_S = 0.25
+LAST_READS = 3  # of READ_BYTES each, at the end: the longest request is whole in two
 REST_S = 0.05  # accepting rests for so long when no descriptor can be freed
 NO_FILES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 WORD = re.compile(rb"[\x21-\x7e]{1,256}")
@@ -286,13 +287,31 @@
             self._stop_reading()
             self._reply().send(b"-ERR the request did not become whole in time\r\n")
         else:
-            self.close()
+            self.spare()
+
+    def spare(self) -> bool:
+        """Close it, unless what it has sent waits unread: whether it did."""
+        if self._readable_now and self._unread():
+            return False
+        self.close()
+        return True
+
+    @property
+    def _readable_now(self) -> bool:
+        return not self.closing and self.pause is None
+
+    def last_look(self) -> None:
+        """Read what has come by now: nothing will be read after this."""
+        for _ in range(LAST_READS):
+            if not self._readable_now or not self._unread():
+                return
+            self._readable()
 
     def finish(self) -> None:
         """Close once nothing is pending or unread; one that has only just connected is about to send."""
         if not self.between_requests or not self.useful and self.loop.time() - self.since < SILENT_S:
             return
-        if not self.closing and self.pause is None and self._unread():
+        if self._readable_now and self._unread():
             self._readable()
         else:
             self.close()
@@ -413,21 +432,20 @@
         of use; never one with a request open. One that has only just connected is about to send."""
         now = self.loop.time()
         fresh = next((c for c in self.clients if not c.useful and not c.pending), None)  # the oldest
-        spare = fresh if fresh and now - fresh.since > SILENT_S else self._longest_idle() or fresh
-        if spare is not None:
-            spare.close()
-        return spare is not None
+        if fresh and now - fresh.since > SILENT_S and fresh.spare():
+            return True
+        return self._close_longest_idle() or fresh is not None and not fresh.closed and fresh.spare()
 
-    def _longest_idle(self) -> Client | None:
-        return next((c for c in self.idle if c.between_requests), None)
+    def _close_longest_idle(self) -> bool:
+        return any(c.spare() for c in list(self.idle) if c.between_requests)
 
     def rests(self, client: Client) -> None:
         """It has no request open any more. Where each client asks once and keeps its connection, those that
         are kept would take the places of those that come: only some are."""
         self.idle.pop(client, None)
         self.idle[client] = None
-        if len(self.idle) > self.max_clients * IDLE_SHARE and (spare := self._longest_idle()):
-            spare.close()
+        if len(self.idle) > self.max_clients * IDLE_SHARE:
+            self._close_longest_idle()
 
     def _sweep(self) -> None:
         if not self.held:  # they may be another process's by now
@@ -439,12 +457,25 @@
             client.overdue(now)
         silent = [c for c in self.clients if not c.useful and not c.pending and now - c.since > SILENT_S]
         for client in silent[:max(0, len(silent) - int(self.max_clients * IDLE_SHARE))]:
-            client.close()
+            client.spare()
 
     def left(self, client: Client) -> None:
         self.clients.pop(client, None)
         self.idle.pop(client, None)
 
+    def take_up(self) -> None:
+        """Those that have connected and were not accepted yet: closing the socket would reset them."""
+        while self.sock is not None and not self.held:
+            before = len(self.clients)
+            self._accept()
+            if len(self.clients) <= before:
+                return
+
+    def last_look(self) -> None:
+        if not self.held:
+            for client in list(self.clients):
+                client.last_look()
+
     def stop_listening(self) -> None:
         if self.sock is not None:
             self.loop.remove_reader(self.sock)
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -730,6 +730,7 @@
         self.loop.call_later(LISTEN_S, self._stop_clients)
 
     def _stop_clients(self) -> None:
+        self.clients.take_up()
         self.clients.stop_listening()
         self._empty()
 
@@ -740,11 +741,16 @@
             self._exit()
 
     def _exit(self) -> None:
-        if not self.closed.done():
-            self.closed.set_result(None)
+        if self.closed.done():
+            return
+        self.clients.last_look()
+        if self.arrived:  # a request that is whole gets its answer before its connection ends
+            self.turn()
+        self.closed.set_result(None)
 
     def close(self) -> None:
         """Let go of everything at once; the journal already holds what is open."""
+        self.frozen = True  # a turn that is due would find no journal
         self.watch.stop()
         self.notices.stop()
         self.calls.close()
