Open a watch that broke again within 4 s in a fleet of any size

Found by reading, shown by a test that fails without this: at 200 couriers the first wait was up to 10 s and later ones up to 40 s, also where the watch had only broken, been reset or brought a line that can't be read; what it misses counts as told after 6 s, 4 s after SIGHUP. Ruled out: silence (the watch is opened at once) and SIGHUP itself (the waits start anew). At fault: one Backoff(couriers) for all in Watch.

--- a/hopmill/net/discovery.py
+++ b/hopmill/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -18,6 +19,8 @@
 # And of a watch, for each courier of the fleet, where that is more: what all of them ask must fit into what
 # discovery can answer, or nobody is answered.
 AGAIN_EACH_S = (0.05, 0.2)
+# But where a watch broke without being turned away: what it misses counts as told some seconds later.
+BROKEN_S = (2.0, 4.0)
 NOTICE_S = 1.0  # a notice is answered at once: after this it is sent again
 MAX_LINE = 1 << 24  # bytes of one line of the watch
 BATCH = 200  # notices in one request
@@ -27,9 +30,9 @@
 class Backoff:
     """Full jitter below a doubling ceiling, with a floor so that it never spins."""
 
-    def __init__(self, couriers: int = 1) -> None:
-        self.first, self.longest = (max(s, each * couriers)
-                                    for s, each in zip(AGAIN_S, AGAIN_EACH_S, strict=True))
+    def __init__(self, couriers: int = 1, most: tuple[float, float] = (math.inf, math.inf)) -> None:
+        self.first, self.longest = (min(max(s, each * couriers), top)
+                                    for s, each, top in zip(AGAIN_S, AGAIN_EACH_S, most, strict=True))
         self.ceiling = self.first
 
     def next(self) -> float:
@@ -80,11 +83,11 @@
     def ready(self) -> None:
         raise NotImplementedError
 
-    def retry(self) -> None:
+    def retry(self, backoff: Backoff | None = None) -> None:
         if self.connection is not None:
             self.connection.close()
         if not self.stopped:
-            self.after(self.backoff.next(), self.open)
+            self.after((backoff or self.backoff).next(), self.open)
 
     def move(self, address: Address) -> None:
         """Discovery is elsewhere now; what was out at the old address is void."""
@@ -107,13 +110,15 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, rev: int,
                  told: Callable[[dict[str, Any]], None], couriers: int = 1) -> None:
         super().__init__(loop, address)
-        self.backoff = Backoff(couriers)
+        self.backoff = Backoff(couriers, BROKEN_S)
+        self.overbooked = Backoff(couriers)  # for what it turns away
         self.rev, self.told = rev, told
         self.tail, self.status = b"", 0
 
     def move(self, address: Address) -> None:
         """Follow the list at the new address at once, from the last version on."""
         super().move(address)
+        self.overbooked.reset()
         self.open()
 
     def ready(self) -> None:
@@ -126,7 +131,7 @@
         self.status = status
         if status != 200:
             log.warning("discovery: watch answered %d", status)
-            self.retry()
+            self.retry(self.overbooked)
 
     def data(self, data: bytes) -> None:
         self.after(SILENCE_S, self.open)
@@ -150,6 +155,7 @@
             self.retry()
             return
         self.backoff.reset()
+        self.overbooked.reset()
         self.rev = rev
         self.told(change)
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -137,3 +137,22 @@
         assert not fleet.host.heard.is_set()
 
     run(tmp_path)
+
+
+@pytest.mark.parametrize("broken", ["ended", "reset", "a line that can't be read", "not up"])
+def test_a_watch_that_broke_is_opened_again_in_time_in_a_fleet_of_any_size(broken):
+    # What it misses counts as told 6 s later, 4 s after SIGHUP; 200 couriers waited up to 10 s at first.
+    random.seed(7)
+    w, waits = watch(200), []
+    for _ in range(40):
+        if broken == "ended":
+            w.end(False)
+        elif broken == "reset":
+            w.lost(True)
+        elif broken == "not up":
+            w._connected(OSError("refused"))
+        else:
+            w._line(b'{"rev": 4, "targets"')
+        waits.append(w.loop.delay)
+    assert 0.5 <= waits[0] <= 2.0 and max(waits) <= 4.0
+    assert turned_away(w) > 2.0  # one that is overbooked is spared as before
