Ask discovery again in time for what counts as told 6 s later

Ruled out: the connection (1 s, then at once) and the notices (1 s). At fault: Backoff(couriers) for Watch.overbooked with no top, SILENCE_S for a first answer and in the middle of a line, and Watch.data, which did not look at the status.

--- a/hopmill/net/discovery.py
+++ b/hopmill/net/discovery.py
@@ -13,14 +13,17 @@
 from hopmill.net.config import Address
 from hopmill.net.http import Connection, Exchange
 
-SILENCE_S = 3.2  # an empty line comes every 2 s: after this the watch is taken for dead
+# A change counts as told 6 s after discovery had it and could be reached, whatever failed before: a silence,
+# one ask that fails and the longest wait after it fit into that together; after SIGHUP the last two into 4 s.
+SILENCE_S = 2.7  # an empty line comes every 2 s: after this the watch is taken for dead
 CONNECT_S = 1.0
+ANSWER_S = 1.2  # the agent answers at once, and no line of it rests half written
 AGAIN_S = (0.1, 1.0)  # first and longest ceiling of the wait before the next try
 # And of a watch, for each courier of the fleet, where that is more: what all of them ask must fit into what
 # discovery can answer, or nobody is answered.
 AGAIN_EACH_S = (0.05, 0.2)
-# But where a watch broke without being turned away: what it misses counts as told some seconds later.
-BROKEN_S = (2.0, 4.0)
+BROKEN_S = (2.0, 3.0)  # but no longer where a watch broke
+TURNED_AWAY_S = (3.0, 3.0)  # or was turned away
 NOTICE_S = 1.0  # a notice is answered at once: after this it is sent again
 MAX_LINE = 1 << 24  # bytes of one line of the watch
 BATCH = 200  # notices in one request
@@ -111,7 +114,7 @@
                  told: Callable[[dict[str, Any]], None], couriers: int = 1) -> None:
         super().__init__(loop, address)
         self.backoff = Backoff(couriers, BROKEN_S)
-        self.overbooked = Backoff(couriers)  # for what it turns away
+        self.overbooked = Backoff(couriers, TURNED_AWAY_S)  # for what it turns away
         self.rev, self.told = rev, told
         self.tail, self.status = b"", 0
 
@@ -124,7 +127,7 @@
     def ready(self) -> None:
         assert self.connection is not None
         self.tail, self.status = b"", 0
-        self.after(SILENCE_S, self.open)
+        self.after(ANSWER_S, self.open)
         self.connection.request("GET", f"/discovery/hosts?watch=1&from={self.rev}", [], b"", self)
 
     def head(self, status: int, headers: dict[str, str]) -> None:
@@ -132,10 +135,14 @@
         if status != 200:
             log.warning("discovery: watch answered %d", status)
             self.retry(self.overbooked)
+        else:
+            self.after(SILENCE_S, self.open)
 
     def data(self, data: bytes) -> None:
-        self.after(SILENCE_S, self.open)
+        if self.status != 200:
+            return
         *lines, self.tail = (self.tail + data).split(b"\n")
+        self.after(ANSWER_S if self.tail else SILENCE_S, self.open)
         if len(self.tail) > MAX_LINE:
             self.retry()
             return
