Keep a fleet of 20 or 30 to the cold budget of a destination, from its first failure on

At fault: Health.judge, where three failures open each endpoint's own circuit, so couriers that know of the outage by one go on at full rate; a told wait of a shut destination, which opened the circuit of the endpoint called and of no other; and a whole token on top of each trial at the start of a slow start (Health.succeeded).

A lane has a cold state of its own now: where the three failures an endpoint takes at all other couriers are more than the destination bears, each keeps to its part from a failure on that no answer came near. One failure alone is forgiven.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -40,7 +40,8 @@
 COURIER = ("seq", "unreturned", "crowded", "quota")
 HEALTH = ("start", "keep", "refused", "reaped", "hold", "loss", "setup", "setup_dev", "silent", "torn")
 LANE = ("listed", "rate", "brink", "tokens", "stamp", "wait_until", "cut_at", "refused", "window", "fulls",
-        "mean", "dev", "hold", "hold_at", "seen", "seen_at")
+        "mean", "dev", "hold", "hold_at", "seen", "seen_at", "cold_at", "back_at", "strikes", "cold_rate",
+        "cold_tokens", "cold_stamp")
 ENDPOINT = ("cordoned", "bad", "dirty", "dirty_at", "last_ok", "most", "most_at")
 CIRCUIT = ("bad", "open", "trial_at", "gap", "ramp_from", "base", "tokens", "stamp")
 CALL = ("sent_at", "judged", "idle_us", "alone", "fresh", "crowded")
@@ -368,6 +369,7 @@
             ep.c.trial = None
         if call.left == 0 and not call.judged and e.result is Result.MOOT:  # no call came of it
             ep.lane.tokens, ep.c.tokens = ep.lane.tokens + 1.0, min(1.0, ep.c.tokens + 1.0)
+            ep.lane.cold_tokens += 1.0
         if ep.state is EndpointState.GONE and not ep.out:
             self._forget(ep)
         if e.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED) and m.key and self.s.key_rest_us:
@@ -452,6 +454,9 @@
         if now < lane.wait_until:
             self._wake(lane.wait_until)
             return False
+        if (wait := self.health.allowance(lane)) and not quick:
+            self._wake(now + wait)
+            return False
         if ep.c.open:
             if ep.c.trial is not None or self.thin and ep.c.tokens < 1.0 and not quick:
                 return False
@@ -483,7 +488,8 @@
         if now < m.ready_at:
             self._wake(m.ready_at)
             return False
-        if self.thin and ep.c.open and ep.c.tokens < 1.0 and not m.quick:
+        held = self.thin and ep.c.open and ep.c.tokens < 1.0
+        if not m.quick and (held or self.health.allowance(ep.lane)):
             return False
         if m.ran_at >= 0:
             if m.cls.effect is Effect.UNSAFE:
@@ -518,7 +524,7 @@
 
     def _pick(self, dest: Destination) -> tuple[float, int, Message, Endpoint] | None:
         """The message of a destination that loses most by waiting, and the endpoint for it."""
-        quick = self.thin and any(m.quick and m.ready_at <= self.now for m in dest.queue)
+        quick = any(m.quick and m.ready_at <= self.now for m in dest.queue)
         free = [ep for lane in dest.lanes for ep in lane.endpoints.values() if self._free(ep, quick)]
         if not free:
             return None
@@ -595,6 +601,7 @@
             ep.c.trial = call
         if ep.c.ramp_from >= 0 or ep.c.open and self.thin:
             ep.c.tokens -= 1.0
+        lane.cold_tokens -= 1.0
         for x in (m, *self._along(m, ep)):
             self._attempt(x, call)
 
--- a/hopmill/health.py
+++ b/hopmill/health.py
@@ -24,6 +24,7 @@
 # Health of an endpoint.
 MEMORY = 0.25  # weight of the newest outcome in the failing share
 STRUCK = 0.5  # failing share at which an endpoint counts as in trouble: three failures in a row from none
+STRIKES = 3  # so many failures in a row from none
 TWICE = 0.4  # failing share after two failures in a row
 DIRTY_FADE = 0.6  # and that share fades by itself in this part of the contract's cold time
 GAP_US, GAP_CAP_US = 400_000, 2_500_000  # first and longest ceiling of the gap between half-open trials
@@ -91,6 +92,9 @@
         self.mean = self.dev = 0.0  # latency
         self.hold, self.hold_at = 1e5, 0  # time that a call takes a slot, also a failed one; when seen
         self.seen, self.seen_at = 0.0, 0  # successes a second
+        # Cold: since when and from which answer on (-1: none), failures in it, this courier's part.
+        self.cold_at = self.back_at = -1
+        self.strikes, self.cold_rate, self.cold_tokens, self.cold_stamp = 0, 0.0, 0.0, 0
 
 
 class Destination:
@@ -164,8 +168,11 @@
             self.refused[lane.dest.kind] += (1 - self.refused[lane.dest.kind]) * KIND_MEMORY
             self.overloaded(lane, told)
             if told > LONG_WAIT_US:
-                ep.bad = ep.c.bad = 1.0
-                self.trip(ep, "shut")
+                self.struck(lane, shut=True)
+                for x in lane.endpoints.values():  # the wait is told for all of them
+                    if x is ep or not x.c.open:
+                        x.bad = x.c.bad = 1.0
+                        self.trip(x, "shut")
                 return
             if now - ep.last_ok < FRESH_US:
                 return
@@ -183,6 +190,8 @@
                 return
         if result in (Result.ERROR, Result.TIMEOUT, Result.RESET):
             ep.dirty, ep.dirty_at = self.dirt(ep) + MEMORY * (1 - self.dirt(ep)), now
+        if result is not Result.FULL:
+            self.struck(lane)
         # Where many calls are lost anyway, one without an answer says little of its endpoint.
         lost = min(1.0, LOST_X * self.loss) if result is Result.TIMEOUT else 0.0
         ep.bad += MEMORY * (1 - ep.bad) * (1 - lost)
@@ -204,6 +213,49 @@
             self.base(ep)
             ep.c.open, ep.c.gap, ep.c.ramp_from = False, 0, now
 
+    def part(self, lane: Lane) -> float:
+        """Calls a second that this courier usually sends there: of all couriers, they sum to the total."""
+        return lane.listed or lane.dest.arrivals / max(self.now - self.start, self.s.cold_us, 1) * 1e6
+
+    def struck(self, lane: Lane, shut: bool = False) -> None:
+        """A failure there, or a wait that only a shut destination tells. Where the calls that open the
+        circuits of its endpoints at all other couriers are more than a cold destination bears, each keeps to
+        its part from the first failure on, until an answer shows that it was no outage."""
+        couriers = self.s.couriers
+        budget = couriers * self.s.cold_share * self.s.fall_multiple * self.part(lane) * self.s.fall_us / 1e6
+        bears = budget + 2 * math.sqrt(budget) + 2  # what is over the budget is taken for chance
+        answers = any(self.now - ep.last_ok < SPELL_US for ep in lane.endpoints.values())
+        if self.thin or answers and not shut or (couriers - 1) * STRIKES * len(lane.endpoints) <= bears:
+            return
+        if lane.cold_at < 0:
+            lane.strikes, lane.cold_at, lane.cold_rate = 0, self.now, self.part(lane)
+            lane.cold_tokens, lane.cold_stamp = self.random.random(), self.now
+        if shut:  # nothing is saved up until the wait is over: it ends for all at once
+            lane.cold_tokens = min(lane.cold_tokens, self.random.random())
+            lane.cold_stamp = max(self.now, lane.wait_until)
+        lane.strikes += 1 + shut
+        lane.back_at = -1
+
+    def answered(self, lane: Lane) -> None:
+        if lane.cold_at >= 0 and lane.back_at < 0:
+            lane.back_at = self.now
+            if lane.strikes < 2:
+                lane.cold_at = -1
+        if 0 <= lane.back_at <= self.now - self.s.cold_us or lane.cold_at >= 0 and self.cold_share(lane) >= 1:
+            lane.cold_at = -1
+
+    def cold_share(self, lane: Lane) -> float:
+        return self.warmth(self.now if lane.back_at < 0 else lane.back_at)
+
+    def allowance(self, lane: Lane) -> int:
+        """Microseconds until a lane in its cold state may get the next call, 0 if it may now."""
+        if lane.cold_at < 0:
+            return 0
+        rate = max(0.001, self.cold_share(lane) * max(lane.cold_rate, self.part(lane)))
+        tokens = lane.cold_tokens + rate * max(0, self.now - lane.cold_stamp) / 1e6
+        lane.cold_tokens, lane.cold_stamp = min(1.0, tokens), max(self.now, lane.cold_stamp)
+        return 0 if tokens >= 1.0 else int((1 - tokens) / rate * 1e6) + 1
+
     def table_full(self, ep: Endpoint, result: Result, call: Call, told: int) -> bool:
         """Turned away on a new connection while kept ones are answered: it takes no more of them. That is a
         failed connection, and says nothing of the limit."""
@@ -246,6 +298,7 @@
         lane.fulls, lane.refused = 0, lane.refused * (1 - REFUSED_MEMORY)
         self.refused[lane.dest.kind] *= 1 - KIND_MEMORY
         lane.window = min(self.cap, lane.window + 1)
+        self.answered(lane)
         if lane.rate:
             top = lane.listed * self.s.couriers or math.inf
             # Fast up to where it was last refused, then slowly, the faster the longer ago that was: growth at
@@ -262,7 +315,7 @@
             elif not self.thin or ep.c.bad >= TWICE * (1 - MEMORY):  # one failure was no outage
                 ep.c.ramp_from = ep.c.stamp = now
                 if not self.thin:
-                    ep.c.tokens = 1.0
+                    ep.c.tokens = self.random.random()  # a whole one each, on top of the trials, is too much
                 self.actions.append(Log(f"endpoint {ep.id} answers again: slow start"))
             ep.c.gap, ep.c.bad = 0, min(ep.c.bad, STRUCK * 0.8)
         elif 0 <= ep.c.ramp_from <= now - self.s.cold_us or ep.c.ramp_from >= 0 and self.warm(ep.c) >= 1:
@@ -307,9 +360,8 @@
     def base(self, ep: Endpoint) -> None:
         # A lane that fails over and over shows few successes: its warm rate is the best one seen. But the
         # floors of hundreds of couriers add up: there it is the own traffic, whose sum follows the total.
-        own = ep.lane.dest.arrivals / max(self.now - self.start, self.s.cold_us, 1) * 1e6
         floor = max(ep.c.base, ep.lane.listed or ep.lane.seen * SPARE, 0.5)
-        ep.c.base = (ep.lane.listed or own) if self.thin else floor
+        ep.c.base = self.part(ep.lane) if self.thin else floor
 
     def chill(self, ep: Endpoint) -> None:
         """It is put back after a restart: nothing known of it holds, and it starts slowly."""
@@ -350,7 +402,9 @@
 
     def warm(self, circuit: Circuit) -> float:
         """Share of its usual calls that a returning endpoint may get."""
+        return self.warmth(self.now if circuit.open else circuit.ramp_from)
+
+    def warmth(self, since: int) -> float:
         c = self.s.cold_share
-        since = self.now if circuit.open else circuit.ramp_from
         warm = c + (1 - c) * (self.now - since) / max(1, self.s.cold_us)
         return min(1.0, RAMP * self.s.fall_multiple * warm)
--- a/hopmill/net/handover.py
+++ b/hopmill/net/handover.py
@@ -23,7 +23,7 @@
 
 from hopmill.net.state import Journal, Taken
 
-VERSION = 2  # of what is handed on; another one is told no, and starts from the journal instead
+VERSION = 3  # of what is handed on; another one is told no, and starts from the journal instead
 LENGTH = struct.Struct(">I")
 MAX_FRAME = 1 << 26
 BATCH = 64  # client connections in one frame; the kernel takes 253 descriptors at once
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -376,13 +376,13 @@
 
 def answered(h, result, turns):
     """How many calls go in so many turns of 25 ms with a message each; all end with that result."""
-    acts, sent = [], 0
-    for _ in range(turns):
+    acts, sent, over = [], 0, result is Result.OK
+    while turns > 0 or of(Send, acts):  # also the calls of the last turn get their outcome
         sends = of(Send, acts)
         sent += len(sends)
-        over = result is Result.OK
         ended = [AttemptEnded(a.message, h.tries[a.message], 100, result, 1000, over) for a in sends]
-        acts = h.do(*ended) + h.arrive(after=S // 40)
+        acts = h.do(*ended) + (h.arrive(after=S // 40) if turns > 0 else [])
+        turns -= 1
     return sent
 
 
--- /dev/null
+++ b/tests/test_cold_budget.py
@@ -0,0 +1,105 @@
+"""What a fleet of any size sends to a destination that comes back cold, against what the settings allow."""
+
+import heapq
+import math
+import random
+
+import pytest
+from test_brain import CLASSES, S
+
+from hopmill.brain import Courier
+from hopmill.interface import (
+    AttemptEnded, EndpointsListed, EndpointState, ListEntry, ListForm, LoadReported, MessageArrived, Result,
+    Send, SetTimer, Settings)
+
+DOWN, BACK, END = 6.0, 11.0, 26.0  # seconds
+SHARE, COLD_S, MULTIPLE, FALL_S = 0.2, 9.5, 2.0, 3.0
+LOAD = 0.7  # of the limit
+TOLD = {"silent": {}, "listed": {"rates_listed": True}, "reported": {"report_fields": ("x0", "x1")}}
+
+
+class Cold:
+    """Counts what each courier sends to one destination with two endpoints, which is down for a while."""
+
+    def __init__(self, couriers, limit, how, told, seed):
+        self.limit, self.how, self.told = limit, how, told
+        self.chance, self.queue, self.count = random.Random(seed), [], 0
+        rate = limit if told == "listed" else 0.0
+        entries = tuple(ListEntry(100 + n, 1, EndpointState.READY, rate) for n in range(2))
+        given = dict(classes=CLASSES, slots=5, max_held=48, max_attempts=6, couriers=couriers,
+                     cold_share=SHARE, cold_us=int(COLD_S * S), fall_multiple=MULTIPLE,
+                     fall_us=int(FALL_S * S), tick_us=1000,
+                     max_retry_after_us=3 * S, refused_price=0.1, **TOLD[told])
+        self.couriers = [Courier(Settings(me=k, **given), self.chance.randrange(1 << 60))
+                         for k in range(couriers)]
+        self.sent, self.knows, self.served = [], set(), []
+        for k in range(couriers):
+            self.later(0.0, k, EndpointsListed(ListForm.CACHED, entries))
+        self.arrivals()
+        self.run()
+
+    def later(self, at, courier, event):
+        self.count += 1
+        heapq.heappush(self.queue, (at, self.count, courier, event))
+
+    def arrivals(self):
+        weights = [self.chance.lognormvariate(0, 0.6) for _ in self.couriers]  # some see much more
+        at = 0.0
+        while (at := at + self.chance.expovariate(self.limit * LOAD)) < END:
+            courier = self.chance.choices(range(len(weights)), weights)[0]
+            until = 1000 * S + int(at * S) + 10 * S
+            self.later(at, courier, MessageArrived(self.count, 0, 1, until))
+
+    def run(self):
+        while self.queue and self.queue[0][0] < END:
+            at, _, k, event = heapq.heappop(self.queue)
+            events = [event] if event else []
+            if isinstance(event, AttemptEnded) and event.result is not Result.OK:
+                self.knows.add(k)
+            elif isinstance(event, AttemptEnded) and self.told == "reported":
+                events.append(LoadReported(event.endpoint, (0.5, self.limit)))
+            for a in self.couriers[k].handle(1000 * S + int(at * S), events):
+                if isinstance(a, Send):
+                    self.call(at, k, a)
+                elif isinstance(a, SetTimer):
+                    self.later(at + max(0.001, a.delay_us / S), k, None)
+
+    def call(self, at, k, a):
+        self.sent.append((at, k in self.knows))
+        took, result, wait = 0.15, Result.OK, 0
+        if DOWN <= at < BACK:
+            took, result, wait = {
+                "refused": (0.02, Result.CONNECT_FAILED, 0), "hangs": (a.timeout_us / S, Result.TIMEOUT, 0),
+                "errors": (0.05, Result.ERROR, 0),
+                "shut": (0.02, Result.FULL, int((BACK - at) * S))}[self.how]
+        elif sum(x > at - 1 for x in self.served[-int(1.2 * self.limit) - 1:]) >= 1.2 * self.limit:
+            took, result, wait = 0.02, Result.FULL, S // 2
+        else:
+            self.served.append(at)
+        tries = self.couriers[k].messages[a.message].tries - 1
+        ended = AttemptEnded(a.message, tries, a.endpoint, result, int(took * S), result is Result.OK, wait)
+        self.later(at + took, k, ended)
+
+    def budget_used(self):
+        """The most that couriers which knew of the outage sent in a window since its end, by its budget."""
+        sent = [at for at, knew in self.sent if knew and at >= BACK]
+        most = 0.0
+        for n, at in enumerate(sent):
+            share = [min(1.0, SHARE + (1 - SHARE) * max(0.0, x - BACK) / COLD_S) for x in (at - FALL_S, at)]
+            if share[1] < 1.0:
+                allowed = MULTIPLE * self.limit * FALL_S * sum(share) / 2
+                calls = sum(x > at - FALL_S for x in sent[:n + 1])
+                most = max(most, calls / (allowed + 2 * math.sqrt(allowed) + 2))
+        return most
+
+
+@pytest.mark.parametrize("told", TOLD)
+@pytest.mark.parametrize("how", ["refused", "hangs", "errors", "shut"])
+@pytest.mark.parametrize("couriers, limit", [(20, 12.0), (20, 60.0), (30, 12.0), (30, 40.0), (200, 30.0),
+                                             (230, 12.0)])
+def test_what_a_whole_fleet_sends_to_a_cold_destination_stays_within_its_budget(couriers, limit, how, told):
+    for seed in range(3):
+        cold = Cold(couriers, limit, how, told, seed)
+        assert cold.budget_used() <= 1.0
+        last = [at for at, _ in cold.sent if at > END - 5]
+        assert len(last) >= 0.6 * LOAD * limit * 5  # and the ramp ends at the full rate
