Let a crowd of idle clients cut one another and not those that are of use

Ruled out: the limit itself (clients have half of it) and IDLE_S (all within 3 s). At fault: ClientServer._make_room: a crowd that comes within SILENT_S has no one who was silent for long enough, so the longest idle useful connection went first.

--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -429,12 +429,13 @@
 
     def _make_room(self) -> bool:
         """Close one that has been silent since it came, else the longest idle, else the oldest that was never
-        of use; never one with a request open. One that has only just connected is about to send."""
-        now = self.loop.time()
-        fresh = next((c for c in self.clients if not c.useful and not c.pending), None)  # the oldest
-        if fresh and now - fresh.since > SILENT_S and fresh.spare():
+        of use; never one with a request open. One that has only just connected is about to send, but not
+        where most of the places are taken by such: a crowd that sends nothing would cut those of use."""
+        fresh = [c for c in self.clients if not c.useful and not c.pending]  # the oldest first
+        crowded = 2 * len(fresh) > self.max_clients
+        if fresh and (crowded or self.loop.time() - fresh[0].since > SILENT_S) and fresh[0].spare():
             return True
-        return self._close_longest_idle() or fresh is not None and not fresh.closed and fresh.spare()
+        return self._close_longest_idle() or bool(fresh) and not fresh[0].closed and fresh[0].spare()
 
     def _close_longest_idle(self) -> bool:
         return any(c.spare() for c in list(self.idle) if c.between_requests)
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -33,7 +33,7 @@
 # Quiesced: clients that still come are served until LATE_S, and handed back from then on.
 LATE_S = 2.0
 CLOSE_S = 0.02  # between two looks for connections that can be closed
-MAX_CORDONS = 1000  # kept at once; those of endpoints that never come back would pile up
+MAX_CORDONS = 1 << 14  # kept at once; those of endpoints that never come back would pile up
 log = logging.getLogger(__name__)
 
 
