Wait up to 5.6 s, and at least half of it, for a discovery that turns the watch away

At fault: TURNED_AWAY_S = 3.0, 15 to 20 asks a second of 40 couriers, which discovery cannot answer; and ANSWER_S = 1.2, which gave up calls that it may answer within 2 s. The first wait stays under 3 s, for what a silence before it leaves of the 6 s.

--- a/hopmill/net/discovery.py
+++ b/hopmill/net/discovery.py
@@ -17,13 +17,14 @@
 # one ask that fails and the longest wait after it fit into that together; after SIGHUP the last two into 4 s.
 SILENCE_S = 2.7  # an empty line comes every 2 s: after this the watch is taken for dead
 CONNECT_S = 1.0
-ANSWER_S = 1.2  # the agent answers at once, and no line of it rests half written
+ANSWER_S = 2.2  # for its first word, and for the rest of a line: one that is busy may take a while
 AGAIN_S = (0.1, 1.0)  # first and longest ceiling of the wait before the next try
 # And of a watch, for each courier of the fleet, where that is more: what all of them ask must fit into what
 # discovery can answer, or nobody is answered.
 AGAIN_EACH_S = (0.05, 0.2)
 BROKEN_S = (2.0, 3.0)  # but no longer where a watch broke
-TURNED_AWAY_S = (3.0, 3.0)  # or was turned away
+# Turned away again and again, discovery is overbooked by what all ask: each asks as rarely as the 6 s allow.
+TURNED_AWAY_S, TURNED_AWAY_LEAST = (3.0, 5.6), 1 / 2
 NOTICE_S = 1.0  # a notice is answered at once: after this it is sent again
 MAX_LINE = 1 << 24  # bytes of one line of the watch
 BATCH = 200  # notices in one request
@@ -31,15 +32,17 @@
 
 
 class Backoff:
-    """Full jitter below a doubling ceiling, with a floor so that it never spins."""
+    """Full jitter below a doubling ceiling, with a floor, a share of it, so that it never spins."""
 
-    def __init__(self, couriers: int = 1, most: tuple[float, float] = (math.inf, math.inf)) -> None:
+    def __init__(self, couriers: int = 1, most: tuple[float, float] = (math.inf, math.inf),
+                 least: float = 1 / 4) -> None:
+        self.least = least
         self.first, self.longest = (min(max(s, each * couriers), top)
                                     for s, each, top in zip(AGAIN_S, AGAIN_EACH_S, most, strict=True))
         self.ceiling = self.first
 
     def next(self) -> float:
-        wait = random.uniform(self.ceiling / 4, self.ceiling)
+        wait = random.uniform(self.ceiling * self.least, self.ceiling)
         self.ceiling = min(self.longest, self.ceiling * 2)
         return wait
 
@@ -114,7 +117,7 @@
                  told: Callable[[dict[str, Any]], None], couriers: int = 1) -> None:
         super().__init__(loop, address)
         self.backoff = Backoff(couriers, BROKEN_S)
-        self.overbooked = Backoff(couriers, TURNED_AWAY_S)  # for what it turns away
+        self.overbooked = Backoff(couriers, TURNED_AWAY_S, TURNED_AWAY_LEAST)  # for what it turns away
         self.rev, self.told = rev, told
         self.tail, self.status = b"", 0
 
