--- /dev/null
+++ b/tests/test_short_window.py
@@ -0,0 +1,97 @@
+"""Keys that are known for one second only, on days of restarts."""
+
+import asyncio
+import time
+
+import pytest
+from loopback import Fleet, bounded
+
+from hopmill.net.state import Held, Journal
+
+WINDOW_S = 1.0
+KEYED = 1  # the class
+
+
+class Restarted:
+    """A courier that finds a keyed message of which a call began so long ago."""
+
+    def __init__(self, folder, scope, age, zone=0):
+        self.fleet = Fleet(folder)
+        keyed = self.fleet.raw["classes"][KEYED]
+        keyed["keyTtlUs"], keyed["keyScope"] = int(WINDOW_S * 1e6), scope
+        self.age, self.zone, self.folder = age, zone, folder
+
+    async def __aenter__(self):
+        await self.fleet.__aenter__()
+        self.endpoint = await self.fleet.endpoint("a")
+        journal = Journal(self.folder / "state", 3_000_000, WINDOW_S).acquire()
+        self.began = time.time() - self.age
+        journal.take(Held(1, "m", KEYED, 0, 7, "k", self.began + 9, False, b"x"))
+        journal.attempt([1], self.began, self.zone)
+        journal.close()
+        self.client = await self.fleet.inside()
+        return self
+
+    async def __aexit__(self, *exc):
+        await self.fleet.__aexit__(*exc)
+
+
+SCOPES = ["all", "zone", "cell"]
+
+
+@pytest.mark.parametrize("scope", SCOPES)
+def test_a_restart_after_the_window_repeats_nothing_and_answers_at_once(tmp_path, scope):
+    async def run():
+        async with Restarted(tmp_path, scope, WINDOW_S) as restarted:
+            final = await restarted.fleet.discovery.final()
+            assert final["id"] == "m" and time.time() - restarted.began < 2 * WINDOW_S  # its time is 9 s
+            assert final["status"] == ("deferred" if scope == "all" else "undeliverable")
+            assert restarted.endpoint.calls.empty()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("scope", SCOPES)
+def test_a_restart_within_the_window_repeats_in_time(tmp_path, scope):
+    async def run():
+        async with Restarted(tmp_path, scope, 0.0) as restarted:
+            assert (await restarted.endpoint.call())[1]["idempotency-key"] == "k"
+            assert time.time() - restarted.began < WINDOW_S
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("scope", SCOPES)
+def test_one_that_finds_no_endpoint_in_its_window_is_answered_when_that_closes(tmp_path, scope):
+    async def run():
+        async with Restarted(tmp_path, scope, 0.0) as restarted:
+            fleet = restarted.fleet
+            await restarted.endpoint.call()
+            fleet.discovery.change("a", state="terminating")
+            b = await fleet.endpoint("b", "reset", "reset", "reset")
+            fleet.discovery.change("b")
+            await restarted.client.put("n", kind="keyed", key="j", life=8000)
+            *_, first = await b.call()
+            fleet.discovery.change("b", state="terminating")
+            assert (await fleet.discovery.final())["id"] == "n"
+            now = asyncio.get_running_loop().time()
+            assert now - first < WINDOW_S + 0.5  # its time is 8 s
+            while not b.calls.empty():  # those that went before the endpoint was known to drain
+                *_, at = await bounded(b.calls.get())
+                assert at - first < WINDOW_S
+
+    asyncio.run(run())
+
+
+def test_a_connection_that_comes_up_as_the_window_closes_writes_no_repeat(tmp_path, monkeypatch):
+    async def run():
+        async with Restarted(tmp_path, "all", 0.0) as restarted:
+            await restarted.endpoint.call()
+            host, now = restarted.fleet.host, time.time()
+            host.journal.held[2] = Held(2, "x", KEYED, 0, 7, "y", now + 9, False, b"x", ran_at=now)
+            monkeypatch.setattr(time, "time", lambda: now + WINDOW_S / 2)
+            assert not host._repeats_late(2)
+            monkeypatch.setattr(time, "time", lambda: now + WINDOW_S)
+            assert host._repeats_late(2)
+
+    asyncio.run(run())
