Review: give the relay's processes a loopback address of their own

Cause: a port that was chosen for the relay could be taken by a stand-in before the relay listened on it, about once in 240 starts; the case then could not run.

--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -42,16 +42,20 @@
         self.file.flush()
 
 
-# A loopback address of this run alone: the ports that are chosen before a process listens on them stay free.
-HOST = "127." + ".".join(str(number % 250 + 2) for number in os.urandom(3))
+def loopback_address():
+    """Return a loopback address that this run has for itself."""
+    return "127." + ".".join(str(number % 250 + 2) for number in os.urandom(3))
 
 
+HOST = loopback_address()  # of the stand-ins
+# Of the processes of the relay. Nothing else listens there: ports that were chosen for them stay free.
+RELAY_HOST = loopback_address()
 chosen_ports = set()
 
 
 def free_port():
     while True:
-        with socket.create_server((HOST, 0)) as server:
+        with socket.create_server((RELAY_HOST, 0)) as server:
             port = server.getsockname()[1]
         if port not in chosen_ports:
             chosen_ports.add(port)
@@ -435,7 +439,7 @@
         self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3}
         self.discovery = Discovery(record)
         self.servers, self.processes, self.taken = [self.discovery], [], {}
-        self.listen = (HOST, free_port())
+        self.listen = (RELAY_HOST, free_port())
         self.console_port = free_port()
         self.known = None
         (self.folder / "state").mkdir()
@@ -453,7 +457,7 @@
             "name": "n0",
             "listen": f"{self.listen[0]}:{self.listen[1]}",
             "discovery": (discovery or self.discovery).address,
-            "console": f"{HOST}:{self.console_port}",
+            "console": f"{RELAY_HOST}:{self.console_port}",
             "seed": os.urandom(8).hex(),
             "limits": self.limits,
             "known": self.known if self.known is not None else self.discovery.whole_list(),
@@ -477,7 +481,7 @@
             "LB_CONFIG": str(path),
             "LB_DISCOVERY": self.discovery.address,
             "LB_STATE": str(self.folder / "state"),
-            "LB_CONSOLE": f"{HOST}:{self.console_port}",
+            "LB_CONSOLE": f"{RELAY_HOST}:{self.console_port}",
             "TMPDIR": str(temporary),
         }
         log = (self.folder / f"log{len(self.processes)}").open("wb")
@@ -513,7 +517,7 @@
             writer.transport.abort()
 
     async def console(self, line, port=0):
-        reader, writer = await asyncio.open_connection(HOST, port or self.console_port)
+        reader, writer = await asyncio.open_connection(RELAY_HOST, port or self.console_port)
         writer.write(line.encode() + b"\n")
         try:
             answer = (await asyncio.wait_for(reader.read(), 3)).decode()
