Count a good response with surplus bytes behind it as what it states

Term: a response that is good but brings more than belongs to it (a second copy, noise) while nothing else waits on the connection counts; the surplus answers, fails or delays no other message.

Seen: a 429, 500, 503, 504 or 410 with noise behind it in the same read ended as a malformed response: possibly applied, so a message that may not be repeated was given up, and the Retry-After of a 410 or 503 did not count. In a later read the same bytes changed nothing: the outcome hung on where the network cut the stream. A second copy was told from noise by the digits of its status line, so half a copy counted as noise.

Cause: EndpointCall.response_complete took trailing bytes that begin no response for the rest of a body whose stated length is too small.

Change: trailing bytes only close the connection; the distinction between a second copy and noise is gone from the parser. Surplus in a later read closes the idle connection, as before, also if it has arrived but was not read when the next call takes the connection.

--- a/message_relay/server/discovery/endpoint_watch.py
+++ b/message_relay/server/discovery/endpoint_watch.py
@@ -153,7 +153,7 @@
         self.revision = change.revision
         self._on_change(change)
 
-    def response_complete(self, trailing_garbage: bool) -> None:
+    def response_complete(self) -> None:
         """Reopen the watch after a wait, since the service ended it."""
         self.retry()
 
--- a/message_relay/server/discovery/final_notifier.py
+++ b/message_relay/server/discovery/final_notifier.py
@@ -106,7 +106,7 @@
         """Store the status until the response is complete."""
         self._status = status
 
-    def response_complete(self, trailing_garbage: bool) -> None:
+    def response_complete(self) -> None:
         """Send the next batch if this one was accepted; retry, halve or drop it if it was not."""
         if self._status == STATUS_ACCEPTED:
             self.backoff.reset()
--- a/message_relay/server/endpoint_calls/call.py
+++ b/message_relay/server/endpoint_calls/call.py
@@ -127,20 +127,17 @@
             self._owner.loop.call_soon(self._abort_incomplete_response)
             self.connection.close()
 
-    def response_complete(self, trailing_garbage: bool) -> None:
+    def response_complete(self) -> None:
         """Report the outcome that the response states for each attempt and release the call.
 
         Only a complete, well-formed response proves that a message was not applied or needs no further
-        attempt. Trailing garbage may be the rest of a body whose stated length is too small, so a response
-        followed by it leaves it ambiguous whether the message was applied.
+        attempt. Bytes that follow it do not belong to it and change nothing.
         """
         if self.health_check:
             healthy = self.status == STATUS_OK
             self.report_health_check(AttemptResult.OK if healthy else AttemptResult.REJECTED)
         elif self.status == STATUS_OK and self.batch:
             self._end_batch()
-        elif trailing_garbage:
-            self.end_all(self._malformed_outcome())
         else:
             self.end_all(outcome_of_status(self.status, self.headers))
         self._owner.release(self)
--- a/message_relay/server/http/connection.py
+++ b/message_relay/server/http/connection.py
@@ -165,7 +165,7 @@
         self._response = None
         if not self.request_written or not response.keep_alive or response.trailing_bytes:
             self.close()
-        response.handler.response_complete(response.trailing_bytes and not response.trailing_response)
+        response.handler.response_complete()
 
     def _close_as_malformed(self) -> None:
         """Close the connection and report a malformed response.
--- a/message_relay/server/http/response_handler.py
+++ b/message_relay/server/http/response_handler.py
@@ -30,10 +30,10 @@
     def body_received(self, data: bytes) -> None:
         """Handle a part of the body."""
 
-    def response_complete(self, trailing_garbage: bool) -> None:
+    def response_complete(self) -> None:
         """Handle the end of the complete response.
 
-        trailing_garbage: whether bytes directly followed it that do not begin another response.
+        Further bytes may have followed it, such as a second copy: the connection is closed already then.
         """
 
     def connection_lost(self, request_written: bool) -> None:
--- a/message_relay/server/http/response_parser.py
+++ b/message_relay/server/http/response_parser.py
@@ -20,9 +20,9 @@
 class ResponseParser:
     """Parser of one response, which may be preceded by informational (1xx) responses.
 
-    Bytes that follow the response are not reported: `trailing_bytes` and `trailing_response` record that they
-    exist. The `on_...` methods are the callbacks of httptools. `parser` and this object refer to each other:
-    the owner deletes `parser` after the response, so that both are freed without the garbage collector.
+    Bytes that follow the response, such as a second copy, are only recorded in `trailing_bytes`. The
+    `on_...` methods are the callbacks of httptools. `parser` and this object refer to each other: the owner
+    deletes `parser` after the response, so that both are freed without the garbage collector.
     """
 
     __slots__ = (
@@ -38,7 +38,6 @@
         "parser",
         "status",
         "trailing_bytes",
-        "trailing_response",
     )
 
     def __init__(self, handler: ResponseHandler) -> None:
@@ -50,7 +49,6 @@
         self.complete = False
         self.keep_alive = False  # the complete response permits another request on the connection
         self.trailing_bytes = False  # bytes followed the complete response
-        self.trailing_response = False  # the bytes that followed begin another response
         self._start_reported = False
         self._informational_responses = 0
         self._header_bytes = 0
@@ -106,10 +104,6 @@
         if not self.trailing_bytes:
             self.headers = {}
 
-    def on_status(self, _: bytes) -> None:
-        """Record whether the bytes that follow the response begin another response."""
-        self.trailing_response = self.trailing_bytes
-
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header of this response."""
         if not self.trailing_bytes:
