--- a/message_relay/server/resp/connection.py
+++ b/message_relay/server/resp/connection.py
@@ -10,8 +10,7 @@
 import logging
 import socket
 from collections import deque
-from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 from message_relay.server.resp import replies
 from message_relay.server.resp.commands import (
@@ -22,7 +21,9 @@
     SubmitRequest,
     parse_request,
 )
+from message_relay.server.resp.connection_owner import ConnectionOwner
 from message_relay.server.resp.reader import ProtocolError, RequestReader
+from message_relay.server.resp.reply_handle import ReplyHandle
 from message_relay.server.resp.socket_writer import SocketWriter
 
 READ_BYTES = 1 << 16
@@ -38,56 +39,6 @@
 log = logging.getLogger(__name__)
 
 
-class ConnectionOwner(Protocol):
-    """Server that a connection belongs to, as far as the connection uses it."""
-
-    @property
-    def loop(self) -> asyncio.AbstractEventLoop:
-        """Event loop that serves the connection."""
-
-    @property
-    def paused(self) -> bool:
-        """Whether reading from connections is suspended."""
-
-    @property
-    def submit(self) -> Callable[[SubmitRequest, ReplyHandle], None]:
-        """Callback that accepts a submitted message; it raises InvalidRequestError for an invalid one."""
-
-    @property
-    def unready_reason(self) -> Callable[[], str]:
-        """Callback that returns why the instance is not ready for clients, an empty string if it is ready."""
-
-    def connection_active(self, connection: ClientConnection) -> None:
-        """Record that the connection has an open request."""
-
-    def connection_idle(self, connection: ClientConnection) -> None:
-        """Record that the connection has no open request."""
-
-    def connection_closed(self, connection: ClientConnection) -> None:
-        """Remove a closed connection."""
-
-
-class ReplyHandle:
-    """Handle through which the reply to one request is sent, in the order of the requests."""
-
-    __slots__ = ("connection", "text")
-
-    def __init__(self, connection: ClientConnection) -> None:
-        self.connection = connection
-        self.text = b""
-
-    @property
-    def client_connected(self) -> bool:
-        """Whether the connection is still open, so that the reply can be sent."""
-        return not self.connection.closed
-
-    def send(self, text: bytes) -> None:
-        """Send the reply as soon as all earlier ones are sent; calls after the first have no effect."""
-        if not self.text:
-            self.text = text
-            self.connection.flush()
-
-
 class ClientConnection:
     """Connection of one client, on a non-blocking socket."""
 
--- /dev/null
+++ b/message_relay/server/resp/connection_owner.py
@@ -0,0 +1,42 @@
+"""Interface of the server that a client connection belongs to."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol
+
+from message_relay.server.resp.commands import SubmitRequest
+from message_relay.server.resp.reply_handle import ReplyHandle
+
+if TYPE_CHECKING:
+    from message_relay.server.resp.connection import ClientConnection
+
+
+class ConnectionOwner(Protocol):
+    """Server that a connection belongs to, as far as the connection uses it."""
+
+    @property
+    def loop(self) -> asyncio.AbstractEventLoop:
+        """Event loop that serves the connection."""
+
+    @property
+    def paused(self) -> bool:
+        """Whether reading from connections is suspended."""
+
+    @property
+    def submit(self) -> Callable[[SubmitRequest, ReplyHandle], None]:
+        """Callback that accepts a submitted message; it raises InvalidRequestError for an invalid one."""
+
+    @property
+    def unready_reason(self) -> Callable[[], str]:
+        """Callback that returns why the instance is not ready for clients, an empty string if it is ready."""
+
+    def connection_active(self, connection: ClientConnection) -> None:
+        """Record that the connection has an open request."""
+
+    def connection_idle(self, connection: ClientConnection) -> None:
+        """Record that the connection has no open request."""
+
+    def connection_closed(self, connection: ClientConnection) -> None:
+        """Remove a closed connection."""
--- a/message_relay/server/resp/server.py
+++ b/message_relay/server/resp/server.py
@@ -11,8 +11,9 @@
 from typing import Any
 
 from message_relay.server.resp.commands import SubmitRequest
-from message_relay.server.resp.connection import ClientConnection, ReplyHandle
+from message_relay.server.resp.connection import ClientConnection
 from message_relay.server.resp.connection_table import ConnectionTable
+from message_relay.server.resp.reply_handle import ReplyHandle
 
 LISTEN_BACKLOG = 512
 # Connections accepted in one iteration of the event loop; open connections are served after it.
--- a/message_relay/server/submission.py
+++ b/message_relay/server/submission.py
@@ -25,7 +25,7 @@
 from message_relay.server.metrics import Metrics
 from message_relay.server.resp import replies
 from message_relay.server.resp.commands import InvalidRequestError, SubmitRequest
-from message_relay.server.resp.connection import ReplyHandle
+from message_relay.server.resp.reply_handle import ReplyHandle
 
 MAX_LIFETIME_DEADLINE_RATIO = 10  # limit of a message's lifetime, in multiples of the deadline of its class
 log = logging.getLogger(__name__)
