--- a/message_relay/model/__init__.py
+++ b/message_relay/model/__init__.py
@@ -19,6 +19,7 @@
     SubscribeEndpointList,
 )
 from message_relay.model.enums import (
+    RESULTS_NOT_APPLIED,
     AttemptResult,
     EndpointListForm,
     EndpointState,
@@ -44,6 +45,7 @@
 from message_relay.model.settings import DestinationType, MessageClass, Settings, Tenant
 
 __all__ = [
+    "RESULTS_NOT_APPLIED",
     "Action",
     "AttemptEnded",
     "AttemptResult",
--- a/message_relay/model/enums.py
+++ b/message_relay/model/enums.py
@@ -42,6 +42,10 @@
     NOT_ATTEMPTED = "not_attempted"  # nothing was sent, or the destination reports that it did not process it
 
 
+# Results that prove that the message was not applied.
+RESULTS_NOT_APPLIED = (AttemptResult.REJECTED, AttemptResult.CONNECT_FAILED, AttemptResult.NOT_ATTEMPTED)
+
+
 class EndpointState(Enum):
     """State of an endpoint according to the endpoint list; the list does not report its health."""
 
--- a/message_relay/policy/attempts.py
+++ b/message_relay/policy/attempts.py
@@ -7,7 +7,7 @@
 """
 
 from message_relay import model
-from message_relay.model import AttemptResult
+from message_relay.model import RESULTS_NOT_APPLIED, AttemptResult
 from message_relay.policy import (
     connection_reuse,
     final_answer,
@@ -24,8 +24,6 @@
 FAST_FAILURE_US = 200_000
 # Added to each Retry-After, which arrives truncated to milliseconds: no call is sent just before its end.
 RETRY_AFTER_ROUNDING_US = 1_000
-# Results that prove that the message was not applied.
-RESULTS_NOT_APPLIED = (AttemptResult.REJECTED, AttemptResult.CONNECT_FAILED, AttemptResult.NOT_ATTEMPTED)
 
 
 def dispatch(state: PolicyState) -> None:
--- a/message_relay/server/attempt_runner.py
+++ b/message_relay/server/attempt_runner.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from message_relay.model import (
+    RESULTS_NOT_APPLIED,
     AttemptEnded,
     AttemptResult,
     EndpointState,
@@ -26,8 +27,6 @@
 from message_relay.server.metrics import Metrics
 from message_relay.server.retry_after import RetryAfterTable
 
-# Results which prove that the attempt was not applied.
-RESULTS_NOT_APPLIED = (AttemptResult.REJECTED, AttemptResult.CONNECT_FAILED, AttemptResult.NOT_ATTEMPTED)
 BATCH_DEADLINE_MARGIN_TICKS = 2  # between the extended time-out of a batched message and its deadline
 log = logging.getLogger(__name__)
 
--- a/message_relay/server/lifecycle.py
+++ b/message_relay/server/lifecycle.py
@@ -54,11 +54,6 @@
         self._quiesced_at_s: float | None = None
         self._close_timer: asyncio.TimerHandle | None = None
 
-    @property
-    def shutting_down(self) -> bool:
-        """Whether a shutdown has begun."""
-        return self._shutting_down
-
     def unready_reason(self) -> str:
         """Return why clients must not be directed to this process, empty if it is ready for them."""
         if self._events.paused:
--- a/tests/hot_restart_pair.py
+++ b/tests/hot_restart_pair.py
@@ -6,7 +6,7 @@
 import asyncio
 import socket
 
-from loopback import Client, Endpoint, answer, bounded, with_fleet, read_request, settings
+from loopback import Client, Endpoint, answer, bounded, read_request, settings, until, with_fleet
 
 from message_relay.server.hot_restart import channel, new_process, old_process
 from message_relay.server.configuration import load_configuration
@@ -112,8 +112,7 @@
 
 async def assert_still_serves(fleet, pair, client, endpoint, message_id):
     """Wait until the old process has ended the handover, then check that it serves old and new clients."""
-    while pair.old_process.events.paused or pair.listener.channel is not None:
-        await asyncio.sleep(0.001)
+    await until(lambda: not pair.old_process.events.paused and pair.listener.channel is None)
     assert pair.old_process.unready_reason() == "" and await client.put(message_id, dest=8) == "+OK"
     assert (await endpoint.call())[1]["x-request-id"] == message_id
     new_client = await Client().open(fleet.relay_port())
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -1,9 +1,8 @@
 """Batches: messages that the relay sends in one call, and the outcome of each."""
 
-import asyncio
 import json
 
-from loopback import answer, with_fleet
+from loopback import answer, until, with_fleet
 
 
 @with_fleet
@@ -47,6 +46,5 @@
     assert (await fleet.discovery.final())["id"] == "b1"  # its deadline has passed, the call continues
     rows = json.dumps([{"id": message_id, "state": "done"} for message_id in lifetimes_ms]).encode()
     endpoint.writers.copy().pop().write(answer(200, rows))
-    while fleet.relay.journal.messages:
-        await asyncio.sleep(0.01)
+    await until(lambda: not fleet.relay.journal.messages)
     assert fleet.discovery.finals.empty() and endpoint.calls.empty()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -6,7 +6,7 @@
 import time
 
 import pytest
-from loopback import Client, bounded, with_fleet
+from loopback import Client, bounded, until, with_fleet
 
 from message_relay.server.resp import connection, connection_table
 from message_relay.server.resp.reader import ProtocolError, RequestReader
@@ -75,8 +75,7 @@
     client = await fleet.start_relay()
     await bounded(fleet.discovery.watches.get())
     fleet.discovery.change("a", state="terminated")
-    while fleet.relay.directory.entries:
-        await asyncio.sleep(0.01)
+    await until(lambda: not fleet.relay.directory.entries)
     assert await client.put("m1") == "+OK"
     assert (await client.put("m2", dest=8)).startswith("-ERR")
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -10,7 +10,7 @@
 import socket
 
 import pytest
-from loopback import Client, bounded, with_fleet
+from loopback import Client, bounded, until, with_fleet
 
 from message_relay.server.resp import connection
 
@@ -127,8 +127,7 @@
     await fleet.start_relay()
     sender, sender_connection = await open_idle(fleet)
     sender.send(Client.message("m")[:20])
-    while not sender_connection.reader.mid_request:
-        await asyncio.sleep(0.01)
+    await until(lambda: sender_connection.reader.mid_request)
     sender.send(b"x")  # unread data that does not complete the request
     sender_connection.close_at_s = 0.0
     sender_connection.close_if_overdue(sender_connection.connected_at_s + connection.REQUEST_TIMEOUT_S)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -4,7 +4,7 @@
 import socket
 import struct
 
-from loopback import Endpoint, answer, with_fleet, read_request
+from loopback import Endpoint, answer, read_request, until, with_fleet
 
 
 class SlowFirstRequestEndpoint(Endpoint):
@@ -59,8 +59,7 @@
 
 
 async def wait_until_all_completed(fleet):
-    while fleet.relay.journal.messages:
-        await asyncio.sleep(0.01)
+    await until(lambda: not fleet.relay.journal.messages)
 
 
 @with_fleet
--- a/tests/test_cordon.py
+++ b/tests/test_cordon.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from loopback import answer, with_fleet
+from loopback import answer, until, with_fleet
 
 from message_relay.model import (
     AttemptEnded,
@@ -131,8 +131,7 @@
 
     relay.calls._connected = connected
     assert await client.put("m") == "+OK"
-    while not connected_calls:
-        await asyncio.sleep(0.001)
+    await until(lambda: connected_calls)
     await asyncio.sleep(0.1)
     assert endpoint.calls.empty() and relay.journal.open_count == 1
     relay.operations.uncordon("a")
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -10,7 +10,7 @@
 import socket
 
 import pytest
-from loopback import Client, bounded
+from loopback import Client, bounded, until
 
 from message_relay.server.hot_restart import new_process
 from message_relay.server.hot_restart.snapshot import VERSION
@@ -30,8 +30,7 @@
     assert await client.put("u", message_class="unsafe") == "+OK"
     await blocked.call()
     old.operations.cordon("f")
-    while not any(c.reader.mid_request for c in old.clients.connections):
-        await asyncio.sleep(0.001)
+    await until(lambda: any(c.reader.mid_request for c in old.clients.connections))
     new = await pair.hot_restart()
     assert new.unready_reason() == "" and old.unready_reason() == "handed over"
     assert await client.put("next", dest=8) == "+OK"  # on the transferred connection
@@ -41,8 +40,7 @@
     assert not old.lifecycle.closed.done() and new.journal.open_count >= 1
     blocked.open.set()
     await bounded(old.lifecycle.closed)
-    while new.journal.open_count:
-        await asyncio.sleep(0.001)
+    await until(lambda: not new.journal.open_count)
     assert new.metrics.delivered[2] == 1 and blocked.calls.empty() and endpoint_f.calls.empty()
     assert fleet.discovery.finals.empty() and "f" in new.journal.cordoned
 
@@ -72,8 +70,7 @@
     new = pair.prepare_new_process()
     starting = asyncio.ensure_future(new_process.take_over(pair.loop, new, pair.path))
     pair.old_process.transfer.handover_blocked_reason = lambda: "not yet"
-    while not new._list_received.is_set():
-        await asyncio.sleep(0.001)
+    await until(lambda: new._list_received.is_set())
     await asyncio.sleep(0.1)
     assert not starting.done() and new.unready_reason() == "starting"
     with pytest.raises(JournalLockedError):
@@ -97,8 +94,7 @@
     await blocked.call()
     # The new process connects and ends before it sends a request.
     requester = ScriptedRequester(pair)
-    while pair.listener.channel is None:
-        await asyncio.sleep(0.001)
+    await until(lambda: pair.listener.channel is not None)
     requester.channel.close()
     await assert_still_serves(fleet, pair, client, endpoint, "a")
     # It ends before it receives the response to its request.
@@ -112,12 +108,10 @@
     await requester.wait_for_frame("end")
     assert pair.old_process.unready_reason() == "handing over"
     blocked.open.set()
-    while not pair.listener.unsent_reports:
-        await asyncio.sleep(0.001)
+    await until(lambda: pair.listener.unsent_reports)
     requester.channel.close()
     await assert_still_serves(fleet, pair, client, endpoint, "c")
-    while pair.old_process.journal.open_count:
-        await asyncio.sleep(0.001)
+    await until(lambda: not pair.old_process.journal.open_count)
     assert pair.old_process.metrics.delivered[0] == 4 and blocked.calls.empty()
     # It acquires the lock and ends before it confirms this.
     requester = ScriptedRequester(pair)
@@ -184,8 +178,7 @@
     await bounded(requester.disconnected.wait())
     await assert_still_serves(fleet, pair, client, endpoint, "last")
     requester = ScriptedRequester(pair)
-    while pair.listener.channel is None:
-        await asyncio.sleep(0.001)
+    await until(lambda: pair.listener.channel is not None)
     pair.listener.abort_on_timeout()  # as at the end of the time limit for a request
     await bounded(requester.disconnected.wait())
     await assert_still_serves(fleet, pair, client, endpoint, "after")
--- a/tests/test_malformed_responses.py
+++ b/tests/test_malformed_responses.py
@@ -7,7 +7,7 @@
 import time
 
 import pytest
-from loopback import Endpoint, answer, bounded, with_fleet
+from loopback import Endpoint, answer, bounded, until, with_fleet
 from test_endpoint_calls import RecordingObserver
 
 from message_relay.model import AttemptResult
@@ -89,8 +89,7 @@
         endpoint = await (ClosingEndpoint() if step == "close" else Endpoint(step)).start()
         observer = RecordingObserver()
         assert await observer.send(endpoint.port, "a") == [("a", outcome)]
-        while observer.client.in_flight:
-            await asyncio.sleep(0.01)
+        await until(lambda: not observer.client.in_flight)
         assert await observer.send(endpoint.port, "b") == [("b", outcome if step == "close" else OK)]
         reusable = name.startswith(("1xx", "malformed load report", "Retry-After"))
         assert endpoint.server is not None and observer.client.calls_on_new_connections == (
@@ -124,8 +123,7 @@
         EndpointCall.response_complete = lambda call: (body_sizes.append(len(call.body)), original(call))
         try:
             assert await observer.send(endpoint.port, "a") == [("a", OK)]
-            while observer.client.in_flight:
-                await asyncio.sleep(0.01)
+            await until(lambda: not observer.client.in_flight)
         finally:
             EndpointCall.response_complete = original
         assert body_sizes == [0]
--- a/tests/test_relay_server.py
+++ b/tests/test_relay_server.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 import pytest
-from loopback import Client, Discovery, Fleet, answer, bounded, with_fleet, settings
+from loopback import Client, Fleet, answer, bounded, settings, until, with_fleet
 
 from message_relay.model import AttemptEnded, EndpointState, LoadReportReceived
 
@@ -135,10 +135,6 @@
     # A connection cut in the network stays open without data: only the missing empty lines reveal it.
     monkeypatch.setattr("message_relay.server.discovery.endpoint_watch.SILENCE_TIMEOUT_S", 0.2)
 
-    class SilentDiscovery(Discovery):
-        def _send_to_watches(self, line):
-            pass
-
     async def run():
         async with Fleet(tmp_path) as fleet:
             await fleet.endpoint("a")
@@ -157,8 +153,7 @@
     await client.put("u", message_class="unsafe")
     for status in (500, 503, 204):
         assert await fleet.discovery.final(status) == {"id": "u", "status": "undeliverable"}
-    while fleet.relay.journal.messages:
-        await asyncio.sleep(0.01)
+    await until(lambda: not fleet.relay.journal.messages)
 
 
 @with_fleet
@@ -168,8 +163,7 @@
     client.writer.write(client.message("m", message_class="unsafe") * 2)
     assert [await client.line() for _ in range(2)] == ["+OK"] * 2
     await endpoint.call()
-    while fleet.relay.journal.messages:
-        await asyncio.sleep(0.01)
+    await until(lambda: not fleet.relay.journal.messages)
     assert await client.put("m", message_class="unsafe") == "+OK"
     await client.put("n")
     assert (await endpoint.call())[1]["x-request-id"] == "n"
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -1,10 +1,9 @@
 """On SIGHUP the relay reads its configuration file again and connects to the discovery address in it."""
 
-import asyncio
 import json
 import signal
 
-from loopback import Discovery, answer, bounded, with_fleet
+from loopback import Discovery, answer, bounded, until, with_fleet
 
 from message_relay.server.configuration import Address
 
@@ -53,8 +52,7 @@
     fleet.discovery.add_target("a", fleet.endpoints["a"].port, 7)
     client = await fleet.start_relay()
     assert await client.put("u1", message_class="unsafe") == "+OK"
-    while not fleet.relay.notifier.batch:
-        await asyncio.sleep(0.01)
+    await until(lambda: fleet.relay.notifier.batch)
     new_discovery = await Discovery().start()
     new_discovery.targets = fleet.discovery.targets
     fleet.relay.change_discovery_address(Address("127.0.0.1", new_discovery.port))
