Give a watch that timed out a longer limit for its next request

Cause: EndpointWatch gave each request 2.2 s for its headers and repeated it at once, without end.

Change: after a time-out the next request gets 1.5 times as long, up to 3.3 s; a response or a changed address returns to 2.2 s. The first failed request takes as long as before, so the bounds of 6 s and 4 s hold (the existing tests of them pass unchanged). A log line tells of each time-out.

A service that takes longer than 3.3 s each time is still not heard.

--- a/message_relay/server/discovery/endpoint_watch.py
+++ b/message_relay/server/discovery/endpoint_watch.py
@@ -6,6 +6,9 @@
 SIGHUP changes the address, which resets the backoffs, one failed request and the longest wait that can follow
 it take less than 4 s.
 
+A service that is slow or crowded may answer later than that. A request that is repeated at once each time
+would never be answered, and would add to the load: after a time-out, the next one has a longer limit.
+
 The watch is reopened from the revision of the latest change reported, so a change that was missed while it
 was broken is sent then. A malformed change cannot be skipped: the watch is reopened from revision 0, and the
 service sends the complete list, which replaces the lost change.
@@ -29,6 +32,10 @@
 # Limit for the headers of the response, and for each further part of an unfinished line: a busy service may
 # take longer than usual.
 RESPONSE_TIMEOUT_S = 2.2
+# The limit for the headers grows by this factor after each time-out, up to a maximum. After a time-out, one
+# request with the maximum is answered within 6 s of the first.
+RESPONSE_TIMEOUT_FACTOR = 1.5
+MAX_RESPONSE_TIMEOUT_S = 3.3
 # A lost watch is reopened without long waits, in a fleet of any size.
 LOST_WATCH_LIMITS = CeilingLimits(initial_s=2.0, maximum_s=3.0)
 # A service that rejects repeatedly is overloaded by the requests of the fleet: each instance then waits
@@ -97,6 +104,7 @@
         self._on_change = on_change
         self._unfinished_line = b""
         self._status = 0
+        self._response_timeout_s = RESPONSE_TIMEOUT_S
 
     def start(self) -> None:
         """Open the watch."""
@@ -106,6 +114,7 @@
         """Set the address of the discovery service and reopen the watch there at once, from `revision`."""
         super().change_address(address)
         self._rejected_backoff.reset()
+        self._response_timeout_s = RESPONSE_TIMEOUT_S
         self.reconnect()
 
     def connected(self) -> None:
@@ -113,13 +122,21 @@
         assert self.connection is not None
         self._unfinished_line = b""
         self._status = 0
-        self.set_timer(RESPONSE_TIMEOUT_S, self.reconnect)
+        self.set_timer(self._response_timeout_s, self._response_timed_out)
         target = f"/discovery/hosts?watch=1&from={self.revision}"
         self.connection.send_request("GET", target, [], b"", self)
 
+    def _response_timed_out(self) -> None:
+        """Repeat the request with a longer limit."""
+        log.warning("discovery did not answer the watch: timeout_s=%.1f", self._response_timeout_s)
+        longer_timeout_s = self._response_timeout_s * RESPONSE_TIMEOUT_FACTOR
+        self._response_timeout_s = min(MAX_RESPONSE_TIMEOUT_S, longer_timeout_s)
+        self.reconnect()
+
     def headers_received(self, status: int, headers: dict[str, str]) -> None:
         """Wait for the first line, or reopen the watch after a wait if the service rejected it."""
         self._status = status
+        self._response_timeout_s = RESPONSE_TIMEOUT_S
         if status == STATUS_OK:
             self.set_timer(SILENCE_TIMEOUT_S, self.reconnect)
         else:
