Let no request cross the surplus in the test of a whole relay

Cause: in the later read's form the endpoint writes the surplus when it sees an idle connection, and the test may have submitted the next message by then. The surplus then crosses a request that is written, is taken for its response, and the message is sent again. That crossing is what the term leaves out ("nothing else waits on the connection"), so the test did not force its order.

Change: the test goes on when the surplus is sent and the connection is closed; the assertions are the same.

--- a/tests/test_surplus_bytes.py
+++ b/tests/test_surplus_bytes.py
@@ -9,7 +9,7 @@
 import socket
 
 import pytest
-from loopback import Discovery, Endpoint, GatedEndpoint, answer, read_request, until, with_fleet
+from loopback import Discovery, Endpoint, GatedEndpoint, answer, bounded, read_request, until, with_fleet
 from test_endpoint_calls import RecordingObserver
 
 from message_relay.model import AttemptResult
@@ -154,6 +154,10 @@
     class SurplusEndpoint(Endpoint):
         """Endpoint that sends a surplus after each response, at once or when the relay's connection rests."""
 
+        def __init__(self):
+            super().__init__()
+            self.surplus_sent = asyncio.Queue()
+
         async def serve(self, reader, writer):
             while True:
                 _, path, headers, body = await read_request(reader)
@@ -163,6 +167,7 @@
                 if later:
                     await until(lambda: fleet_in_test[0].relay.calls.idle_connections)
                     writer.write(surplus)
+                    self.surplus_sent.put_nowait(None)
 
     forms, fleet_in_test = list(SURPLUS.values()), []
 
@@ -177,6 +182,9 @@
             assert await client.put(f"m{number}", message_class=message_class) == "+OK"
             await until(lambda number=number: endpoint.calls.qsize() > number)
             await until(lambda: not fleet.relay.journal.open_count)
+            if later:  # the next request may not cross the surplus
+                await bounded(endpoint.surplus_sent.get())
+                await until(lambda: not fleet.relay.calls.idle_connections)
         metrics = await fleet.metrics()
         assert metrics[f'app_success_total{{tier="{message_class}"}}'] == count
         assert metrics["app_backend_calls_total"] == count and metrics["app_hosts_down"] == 0
