Say in the test of a slow discovery what its stand-in does

The docstring named a queue of responses that is not there; a constant's comment stands above it. No test, check or figure is changed; the file passes.

--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -14,13 +14,12 @@
 from message_relay.server.discovery.endpoint_watch import EndpointWatch
 
 HEADERS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-WAIT_FOR_RESPONSE_S = (
-    2.5  # of a service that is slow, within the 4 s and the 6 s in which a change has to arrive
-)
+# Of a slow service; within the 4 s and the 6 s in which a change has to arrive.
+WAIT_FOR_RESPONSE_S = 2.5
 
 
 class HeldDiscovery(ScriptedServer):
-    """Discovery service that answers a watch when the test puts a response on its queue."""
+    """Discovery service whose watches the test answers; `requests` holds the writer of each."""
 
     def __init__(self):
         super().__init__()
