Tell what clients hold and why connections and messages end, in metrics and log

New on the console: client connections, bytes of unfinished requests and of messages, stored identifiers, resident memory, closes and refusals by reason. New in the log, with the message's id: refusals, failed attempts, final answers, and each close that is neither the client's own nor idle.

No decision changes.

--- a/message_relay/server/attempt_runner.py
+++ b/message_relay/server/attempt_runner.py
@@ -194,6 +194,8 @@
         number = attempt.message_number
         message = self._journal.messages.get(number)
         message_ended = outcome.message_ended or message is None
+        if outcome.result is not AttemptResult.OK:
+            self._log_failure(attempt, endpoint, outcome.result)
         if message and not message.final_status and outcome.result is AttemptResult.OK:
             self._metrics.record_delivered(message.message_class)
         if outcome.message_ended and message:
@@ -218,6 +220,15 @@
         )
         self.on_attempt_ended()
 
+    def _log_failure(self, attempt: CallAttempt, endpoint: int, result: AttemptResult) -> None:
+        log.info(
+            "attempt failed: message=%s attempt=%d endpoint=%s result=%s",
+            attempt.message_id,
+            attempt.attempt,
+            self.directory.uids.get(endpoint, ""),
+            result.name.lower(),
+        )
+
     def _record_not_applied(self, numbers: list[int]) -> None:
         for number in numbers:
             self._journal.record_not_applied(number)
--- a/message_relay/server/final_answers.py
+++ b/message_relay/server/final_answers.py
@@ -51,6 +51,9 @@
     def end_message(self, message: AcceptedMessage, status: FinalStatus, retry_after_ms: int = 0) -> None:
         """Record the final answer of the message and queue its notice."""
         self.count_outcome(message.message_class, rejected=status is FinalStatus.DEFERRED)
+        log.info(
+            "message ended: message=%s status=%s attempts=%d", message.id, status.value, message.attempts
+        )
         try:
             self._journal.record_final(message.number, status, retry_after_ms)
         except OSError as error:  # the notice is sent all the same: a second one after a restart does no harm
--- a/message_relay/server/hot_restart/state_transfer.py
+++ b/message_relay/server/hot_restart/state_transfer.py
@@ -29,6 +29,7 @@
 from message_relay.server.journal import Journal
 from message_relay.server.lifecycle import Lifecycle
 from message_relay.server.policy_runner import PolicyRunner
+from message_relay.server.resp.close_reason import CloseReason
 from message_relay.server.resp.connection import ClientConnection
 from message_relay.server.resp.server import ClientServer
 from message_relay.server.retry_after import RetryAfterScope, RetryAfterTable
@@ -217,7 +218,7 @@
         server.notifier.stop()
         server.clients.stop_listening()
         for connection in self._transferred_connections:
-            connection.close()
+            connection.close(CloseReason.HANDED_OVER)
         server.lifecycle.drain_after_handover()
 
     # As the new process
--- a/message_relay/server/operations.py
+++ b/message_relay/server/operations.py
@@ -13,6 +13,9 @@
 from message_relay.server.journal import Journal
 from message_relay.server.lifecycle import Lifecycle
 from message_relay.server.metrics import Gauges, Metrics
+from message_relay.server.resource_metrics import ResourceUsage, render_counts_by_reason, render_usage
+from message_relay.server.resp.server import ClientServer
+from message_relay.server.submission import Submissions
 
 MAX_CORDONS = 1 << 14  # upper bound: cordons of endpoints that are never listed again accumulate
 log = logging.getLogger(__name__)
@@ -31,6 +34,8 @@
         calls: EndpointCallClient,
         metrics: Metrics,
         lifecycle: Lifecycle,
+        clients: ClientServer,
+        submissions: Submissions,
     ) -> None:
         self._policy = policy
         self._events = events
@@ -39,6 +44,8 @@
         self._calls = calls
         self._metrics = metrics
         self._lifecycle = lifecycle
+        self._clients = clients
+        self._submissions = submissions
 
     def check_health(self) -> None:
         """Raise CommandRejectedError with the reason if this process is not ready for clients."""
@@ -51,7 +58,24 @@
         out_of_rotation = sum(
             1 for endpoint in self._policy.endpoints_out_of_rotation() if endpoint in entries
         )
-        return self._metrics.render(Gauges(self._journal.open_count, len(entries), out_of_rotation))
+        gauges = Gauges(self._journal.open_count, len(entries), out_of_rotation)
+        return "".join(
+            [
+                self._metrics.render(gauges),
+                render_usage(self._resource_usage()),
+                render_counts_by_reason("client_connections_closed", self._clients.close_counts),
+                render_counts_by_reason("refused", self._submissions.refusal_counts),
+            ]
+        )
+
+    def _resource_usage(self) -> ResourceUsage:
+        journal, clients = self._journal, self._clients
+        return ResourceUsage(
+            client_connections=len(clients.connections),
+            client_buffer_bytes=sum(len(connection.reader.buffer) for connection in clients.connections),
+            message_bytes=journal.open_bytes,
+            stored_identifiers=len(journal.completed_ids) + len(journal.idempotency_keys),
+        )
 
     def quiesce(self) -> None:
         """Report the instance as unready and close its idle client connections."""
--- /dev/null
+++ b/message_relay/server/refusal.py
@@ -0,0 +1,16 @@
+"""Reasons for which a submitted message is refused: its client may submit it again."""
+
+from __future__ import annotations
+
+import enum
+
+
+class RefusalReason(enum.Enum):
+    """Why a message was not accepted; the value is the label of the metric and of the log line."""
+
+    OPEN_MESSAGES = "open_messages"  # their number is at its limit
+    QUIESCED = "quiesced"
+    HANDOVER = "handover"  # another process serves, or is about to
+    POLICY = "policy"
+    JOURNAL = "journal"  # it could not be recorded
+    CLIENT_LEFT = "client_left"  # no client would receive the reply
--- a/message_relay/server/relay_server.py
+++ b/message_relay/server/relay_server.py
@@ -116,6 +116,8 @@
             calls=self.calls,
             metrics=self.metrics,
             lifecycle=self.lifecycle,
+            clients=self.clients,
+            submissions=self.submissions,
         )
         self.policy_runner = PolicyRunner(
             loop=self._loop,
--- a/message_relay/server/resp/connection.py
+++ b/message_relay/server/resp/connection.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from message_relay.server.resp import replies
+from message_relay.server.resp.close_reason import CloseReason
 from message_relay.server.resp.commands import (
     InvalidRequestError,
     PingRequest,
@@ -24,7 +25,7 @@
 from message_relay.server.resp.connection_owner import ConnectionOwner
 from message_relay.server.resp.reader import ProtocolError, RequestReader
 from message_relay.server.resp.reply_handle import ReplyHandle
-from message_relay.server.resp.socket_writer import SocketWriter
+from message_relay.server.resp.socket_writer import MAX_UNSENT_BYTES, SocketWriter
 
 READ_BYTES = 1 << 16
 # Requests of one connection that may be open at once, or handled in one iteration of the event loop.
@@ -47,9 +48,10 @@
         self.sock = sock
         self.loop = owner.loop
         self.reader = RequestReader()
-        self.writer = SocketWriter(self.loop, sock, on_writable=self.flush, on_failure=self.close)
+        self.writer = SocketWriter(self.loop, sock, on_writable=self.flush, on_failure=self._writing_failed)
         self.pending_replies: deque[ReplyHandle] = deque()
         self.closing = False  # nothing more is read; pending replies are still sent
+        self.close_reason = CloseReason.CLIENT_CLOSED  # why it is closing
         self.closed = False
         self.has_sent_valid_request = False
         self.invalid_requests = 0
@@ -68,10 +70,10 @@
         except (BlockingIOError, InterruptedError):
             return
         except OSError:
-            self.close()
+            self.close(CloseReason.CONNECTION_ERROR)
             return
         if not data:  # the client has shut down its sending side; it still gets the pending replies
-            self._stop_reading()
+            self._stop_reading(CloseReason.CLIENT_CLOSED)
             self.flush()
             return
         if self.has_sent_valid_request and not self.reader.mid_request:
@@ -103,7 +105,7 @@
         try:
             arguments = self.reader.next_request()
         except ProtocolError as error:
-            self._stop_reading()
+            self._stop_reading(CloseReason.PROTOCOL_ERROR)
             self._add_reply().send(replies.error(f"Protocol error: {error}"))
             return True
         if arguments is not None:
@@ -152,7 +154,7 @@
             case PingRequest(text):
                 reply.send(_reply_to_ping(text, self.owner.unready_reason()))
             case QuitRequest():
-                self._stop_reading()
+                self._stop_reading(CloseReason.QUIT)
                 reply.send(replies.OK)
 
     def _reject(self, reply: ReplyHandle, error: InvalidRequestError) -> None:
@@ -163,7 +165,7 @@
         log.warning("request rejected: reason=%r", str(error))
         self.invalid_requests += 1
         if self.invalid_requests >= MAX_INVALID_REQUESTS:
-            self._stop_reading()
+            self._stop_reading(CloseReason.INVALID_REQUESTS)
         else:
             self.loop.remove_reader(self.sock)
             pause_s = INVALID_REQUEST_PAUSE_S * 2 ** (self.invalid_requests - 1)
@@ -175,8 +177,9 @@
         if not self.closing and not self.owner.paused:
             self.resume()
 
-    def _stop_reading(self) -> None:
+    def _stop_reading(self, reason: CloseReason) -> None:
         self.closing = True
+        self.close_reason = reason
         if not self.closed:
             self.loop.remove_reader(self.sock)
 
@@ -205,7 +208,11 @@
             self.owner.connection_idle(self)
         self._restart_timeout(self.loop.time())
         if self.closing and not self.writer.unsent:
-            self.close()
+            self.close(self.close_reason)
+
+    def _writing_failed(self) -> None:
+        unread = len(self.writer.unsent) > MAX_UNSENT_BYTES
+        self.close(CloseReason.REPLIES_NOT_READ if unread else CloseReason.CONNECTION_ERROR)
 
     def _restart_timeout(self, now_s: float) -> None:
         self.close_at_s = now_s + (IDLE_TIMEOUT_S if self.has_sent_valid_request else REQUEST_TIMEOUT_S)
@@ -266,12 +273,13 @@
         if now_s < self.close_at_s or self.pending_replies:
             return
         if self.reader.mid_request and not self.closing:
-            self._stop_reading()
+            self._stop_reading(CloseReason.REQUEST_TIMEOUT)
             self._add_reply().send(replies.error("request timed out before it was complete"))
         else:
-            self.close_if_nothing_unread()
+            reason = CloseReason.IDLE if self.has_sent_valid_request else CloseReason.SILENT
+            self.close_if_nothing_unread(reason)
 
-    def close_if_nothing_unread(self) -> bool:
+    def close_if_nothing_unread(self, reason: CloseReason) -> bool:
         """Close the connection unless data of the client waits; return whether it was closed.
 
         The data may wait to be read, or in the buffer for the end of the pause after an invalid request.
@@ -280,7 +288,7 @@
             return False
         if self.read_pause is not None and self.reader.mid_request:
             return False
-        self.close()
+        self.close(reason)
         return True
 
     def close_when_idle(self) -> None:
@@ -299,7 +307,7 @@
         if self._accepts_requests and has_unread_data(self.sock):
             self._on_readable()
         else:
-            self.close()
+            self.close(CloseReason.IDLE)
 
     def read_pending(self) -> None:
         """Handle the requests that have arrived; called before the process exits, when nothing more is read.
@@ -317,11 +325,12 @@
     def _accepts_requests(self) -> bool:
         return not self.closing and self.read_pause is None
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close the connection at once and discard the pending replies."""
         if self.closed:
             return
         self.closed = self.closing = True
+        self.close_reason = reason
         self.loop.remove_reader(self.sock)
         self.loop.remove_writer(self.sock)
         for timer in (self.read_pause, self.continuation):
--- a/message_relay/server/resp/connection_table.py
+++ b/message_relay/server/resp/connection_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from message_relay.server.resp.close_reason import CloseReason
 from message_relay.server.resp.connection import SILENT_CONNECTION_AGE_S, ClientConnection
 
 IDLE_CONNECTION_SHARE = 0.25  # of max_connections: upper bound for idle connections, and for silent ones
@@ -65,11 +66,13 @@
         if oldest is not None:
             exceed_half = 2 * len(without_request) > self.max_connections
             silent = now_s - oldest.connected_at_s > SILENT_CONNECTION_AGE_S
-            if (exceed_half or silent) and oldest.close_if_nothing_unread():
+            if (exceed_half or silent) and oldest.close_if_nothing_unread(CloseReason.EVICTED):
                 return True
         if self._close_longest_idle():
             return True
-        return oldest is not None and not oldest.closed and oldest.close_if_nothing_unread()
+        if oldest is None or oldest.closed:
+            return False
+        return oldest.close_if_nothing_unread(CloseReason.EVICTED)
 
     def sweep(self, now_s: float) -> None:
         """Close overdue connections, and the oldest silent ones in excess of max_idle_connections."""
@@ -81,11 +84,11 @@
         ]
         excess = max(0, len(silent) - int(self.max_idle_connections))
         for connection in silent[:excess]:
-            connection.close_if_nothing_unread()
+            connection.close_if_nothing_unread(CloseReason.SILENT)
 
     def _without_valid_request(self) -> list[ClientConnection]:
         return [c for c in self.connections if not c.has_sent_valid_request and not c.pending_replies]
 
     def _close_longest_idle(self) -> bool:
         candidates = (c for c in list(self.idle) if c.between_requests)
-        return any(c.close_if_nothing_unread() for c in candidates)
+        return any(c.close_if_nothing_unread(CloseReason.EVICTED) for c in candidates)
--- a/message_relay/server/resp/server.py
+++ b/message_relay/server/resp/server.py
@@ -7,9 +7,11 @@
 import errno
 import logging
 import socket
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
+from message_relay.server.resp.close_reason import CloseReason
 from message_relay.server.resp.commands import SubmitRequest
 from message_relay.server.resp.connection import ClientConnection
 from message_relay.server.resp.connection_table import ConnectionTable
@@ -45,6 +47,7 @@
         self.listening_socket: socket.socket | None = None
         self.accept_timer: asyncio.TimerHandle | None = None
         self.sweep_timer: asyncio.TimerHandle | None = None
+        self.close_counts: Counter[CloseReason] = Counter()
         self.paused = False  # no accepting or reading while another process may take over the connections
 
     @property
@@ -140,7 +143,7 @@
             if timer is not None:
                 timer.cancel()
         for connection in list(self.connections):
-            connection.close()
+            connection.close(CloseReason.PROCESS_EXIT)
 
     def connection_active(self, connection: ClientConnection) -> None:
         """Record that the connection has an open request."""
@@ -151,8 +154,18 @@
         self.table.mark_idle(connection)
 
     def connection_closed(self, connection: ClientConnection) -> None:
-        """Remove a closed connection."""
+        """Remove a closed connection and count the reason."""
         self.table.remove(connection)
+        reason = connection.close_reason
+        self.close_counts[reason] += 1
+        if not reason.expected:
+            log.info(
+                "client connection closed: reason=%s age_s=%.2f buffered_bytes=%d open_requests=%d",
+                reason.value,
+                self.loop.time() - connection.connected_at_s,
+                len(connection.reader.buffer),
+                len(connection.pending_replies),
+            )
 
     def _start_accepting(self) -> None:
         if self.listening_socket is not None and not self.paused:
--- a/message_relay/server/submission.py
+++ b/message_relay/server/submission.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -23,6 +24,7 @@
 from message_relay.server.final_answers import FinalAnswers
 from message_relay.server.journal import AcceptedMessage, FinalStatus, Journal
 from message_relay.server.metrics import Metrics
+from message_relay.server.refusal import RefusalReason
 from message_relay.server.resp import replies
 from message_relay.server.resp.commands import InvalidRequestError, SubmitRequest
 from message_relay.server.resp.reply_handle import ReplyHandle
@@ -85,6 +87,7 @@
         # Set by the server: returns whether new messages are rejected, whatever the policy decides.
         self.rejects_new_messages: Callable[[], bool] = lambda: False
         self.last_number = 0  # number of the latest message
+        self.refusal_counts: Counter[RefusalReason] = Counter()
         self._settings = settings
         self._class_numbers = {item.name: number for number, item in enumerate(settings.classes)}
         self._tenant_numbers = {tenant.name: number for number, tenant in enumerate(settings.tenants)}
@@ -105,7 +108,7 @@
         """
         message_class, tenant = self._validate(request)
         if self._events.paused:
-            reply.send(replies.busy(self._policy.capacity_retry_after_us()))
+            self._refuse(request.message_id, reply, RefusalReason.HANDOVER)
             return
         if request.message_id in self.pending_ids:
             self.pending[self.pending_ids[request.message_id]].replies.append(reply)
@@ -115,12 +118,22 @@
             reply.send(replies.OK)
             return
         open_messages = self._journal.open_count + len(self.pending)
-        if self.rejects_new_messages() or open_messages >= self._settings.max_open_messages:
+        quiesced = self.rejects_new_messages()
+        if quiesced or open_messages >= self._settings.max_open_messages:
             self._metrics.record_rejected(message_class)
-            reply.send(replies.busy(self._policy.capacity_retry_after_us()))
+            reason = RefusalReason.QUIESCED if quiesced else RefusalReason.OPEN_MESSAGES
+            self._refuse(request.message_id, reply, reason)
             return
         self._enqueue(self._new_message(request, message_class, tenant), reply)
 
+    def _refuse(self, message_id: str, reply: ReplyHandle, reason: RefusalReason) -> None:
+        self._count_refusal(message_id, reason)
+        reply.send(replies.busy(self._policy.capacity_retry_after_us()))
+
+    def _count_refusal(self, message_id: str, reason: RefusalReason) -> None:
+        self.refusal_counts[reason] += 1
+        log.info("message refused: message=%s reason=%s", message_id, reason.value)
+
     def _is_duplicate(self, message_id: str) -> bool:
         """Return whether a message with this id was accepted before."""
         return message_id in self._journal.numbers_by_id or message_id in self._journal.completed_ids
@@ -203,6 +216,7 @@
         """Reply to a message that the policy rejected or failed at once; the journal does not record it."""
         rejection = action if isinstance(action, RejectMessage) else None
         text = replies.busy(rejection.retry_after_us) if rejection else replies.FAILED
+        self._count_refusal(pending.message.id, RefusalReason.POLICY)
         self._answers.count_outcome(pending.message.message_class, rejected=rejection is not None)
         pending.answer(text)
 
@@ -213,12 +227,14 @@
         """
         message = pending.message
         if not any(reply.client_connected for reply in pending.replies):
-            self._events.add(MessageWithdrawn(message.number))  # no client would receive the reply
+            self._events.add(MessageWithdrawn(message.number))
+            self._count_refusal(message.id, RefusalReason.CLIENT_LEFT)
             return
         try:
             self._journal.accept(message)
         except OSError as error:
             log.error("message not accepted: message=%s error=%s", message.id, error)
+            self._count_refusal(message.id, RefusalReason.JOURNAL)
             self._metrics.record_rejected(message.message_class)
             self._events.add(MessageWithdrawn(message.number))
             pending.answer(replies.busy(self._policy.capacity_retry_after_us()))
