Bound the memory of unfinished requests, waiting messages and unread replies

Callers saw a process of 32 MB killed while hundreds of clients stopped half way through large requests, wrote them slowly, or sent large ones at once.

Cause: every limit on clients counted connections, requests or messages of one connection, none counted the bytes of all: up to 512 unfinished requests of 68 KB, read buffers of 64 KB that stayed allocated behind them, 274 complete messages of 64 KB that wait for a tick, echoes of 64 KB. limits.memory_mb was read by nobody.

Change: memory_mb gives two budgets (memory_limits.py). Unfinished requests of all connections share one; above it those that began first are discarded: the rest is skipped, and the request is answered -BUSY when it is complete, so that none is lost and the connection stays in use. Open and waiting messages share the other; beyond it new ones are answered -BUSY. A connection reads as much as it can handle (4 KiB, or the rest of a long argument), into one shared buffer, and nothing while its replies are not read; after 3 s without reading it is closed. Arguments before the last are bounded by 4 KiB, fields by 2 KiB, the echo of PING by 64 bytes. A closed connection is freed at once: its reference cycle kept 8 MB until the garbage collector ran.

The test of pipelined requests bounds the buffer by the new, smaller read size. One test closes connections itself and now passes a reason.

--- a/message_relay/server/configuration.py
+++ b/message_relay/server/configuration.py
@@ -14,6 +14,7 @@
 
 DEFAULT_MAX_DESCRIPTORS = 1024  # if the file has no limits.sockets
 DEFAULT_DISK_LIMIT_MB = 3  # if the file has no limits.disk_mb
+DEFAULT_MEMORY_LIMIT_MB = 32  # if the file has no limits.memory_mb
 BYTES_PER_MB = 1_000_000
 MAX_PORT = 65535
 
@@ -40,9 +41,9 @@
     """Configuration of one instance.
 
     max_descriptors: upper bound for the open file descriptors of the process; disk_limit_bytes: upper bound
-    for the size of the state directory; zones: names of the zones, indexed by zone number; console_address:
-    address of the admin console, None for no console; listen_fd: descriptor of a listening socket that the
-    platform has opened, -1 for none.
+    for the size of the state directory; memory_limit_bytes: upper bound for the memory of the process; zones:
+    names of the zones, indexed by zone number; console_address: address of the admin console, None for no
+    console; listen_fd: descriptor of a listening socket that the platform has opened, -1 for none.
     """
 
     name: str
@@ -52,6 +53,7 @@
     seed: int
     max_descriptors: int
     disk_limit_bytes: int
+    memory_limit_bytes: int
     cached_list: CachedEndpointList
     settings: Settings
     zones: tuple[str, ...]
@@ -90,6 +92,7 @@
         seed=_seed(document.get("seed", 0)),
         max_descriptors=int(_positive_limit(limits, "sockets", DEFAULT_MAX_DESCRIPTORS)),
         disk_limit_bytes=int(_positive_limit(limits, "disk_mb", DEFAULT_DISK_LIMIT_MB) * BYTES_PER_MB),
+        memory_limit_bytes=int(_positive_limit(limits, "memory_mb", DEFAULT_MEMORY_LIMIT_MB) * BYTES_PER_MB),
         cached_list=_cached_list(_object_field(document, "known")),
         settings=_settings(settings),
         zones=tuple(str(zone) for zone in settings.get("localities") or ()),
--- a/message_relay/server/hot_restart/state_transfer.py
+++ b/message_relay/server/hot_restart/state_transfer.py
@@ -219,6 +219,9 @@
         server.clients.stop_listening()
         for connection in self._transferred_connections:
             connection.close(CloseReason.HANDED_OVER)
+        for connection in list(server.clients.connections):
+            if connection.reader.discarding:
+                connection.refuse_unfinished_request()
         server.lifecycle.drain_after_handover()
 
     # As the new process
--- a/message_relay/server/operations.py
+++ b/message_relay/server/operations.py
@@ -72,8 +72,8 @@
         journal, clients = self._journal, self._clients
         return ResourceUsage(
             client_connections=len(clients.connections),
-            client_buffer_bytes=sum(len(connection.reader.buffer) for connection in clients.connections),
-            message_bytes=journal.open_bytes,
+            client_buffer_bytes=clients.unfinished_requests.total_bytes,
+            message_bytes=self._submissions.message_bytes,
             stored_identifiers=len(journal.completed_ids) + len(journal.idempotency_keys),
         )
 
--- a/message_relay/server/refusal.py
+++ b/message_relay/server/refusal.py
@@ -10,6 +10,7 @@
 
     OPEN_MESSAGES = "open_messages"  # their number is at its limit
     QUIESCED = "quiesced"
+    MEMORY = "memory"  # for messages, or for requests that are being received
     HANDOVER = "handover"  # another process serves, or is about to
     POLICY = "policy"
     JOURNAL = "journal"  # it could not be recorded
--- a/message_relay/server/relay_server.py
+++ b/message_relay/server/relay_server.py
@@ -22,6 +22,7 @@
 from message_relay.server.hot_restart.state_transfer import StateTransfer
 from message_relay.server.journal import AcceptedMessage, Journal
 from message_relay.server.lifecycle import Lifecycle
+from message_relay.server.memory_limits import MemoryLimits
 from message_relay.server.metrics import Metrics
 from message_relay.server.operations import Operations
 from message_relay.server.policy_runner import PolicyRunner
@@ -86,6 +87,7 @@
 
     def _create_client_side(self) -> None:
         """Create submissions, the client server, the lifecycle, operators' commands and the policy runner."""
+        memory_limits = MemoryLimits.of_process(self.configuration.memory_limit_bytes)
         self.submissions = Submissions(
             settings=self.settings,
             policy=self.policy,
@@ -95,10 +97,15 @@
             attempts=self.attempts,
             answers=self.answers,
             metrics=self.metrics,
+            max_message_bytes=memory_limits.message_bytes,
         )
         max_connections = int(self.configuration.max_descriptors * CLIENT_CONNECTION_SHARE)
         self.clients = ClientServer(
-            self.submissions.submit, max(MIN_CLIENT_CONNECTIONS, max_connections), self.unready_reason
+            submit=self.submissions.submit,
+            refuse=self.submissions.refuse_discarded,
+            unready_reason=self.unready_reason,
+            max_connections=max(MIN_CLIENT_CONNECTIONS, max_connections),
+            max_buffer_bytes=memory_limits.client_buffer_bytes,
         )
         self.lifecycle = Lifecycle(
             loop=self._loop,
--- a/message_relay/server/resp/commands.py
+++ b/message_relay/server/resp/commands.py
@@ -11,6 +11,8 @@
 PRINTABLE = re.compile(rb"[\x21-\x7e]{1,256}")  # message ids and idempotency keys, sent in HTTP headers
 SUBMIT_ARGUMENTS = 4  # order key, message id, fields, body
 MAX_PING_ARGUMENTS = 1  # the text to echo
+MAX_PING_TEXT_BYTES = 64  # the echoes to a client that does not read them stay in memory
+MAX_FIELDS_BYTES = 2048  # all fields with their longest values take less than half of it
 MAX_NUMBER_DIGITS = 12  # bounds the cost of parsing; valid numbers are shorter
 ORDER_KEY_BYTES = 8  # size of the hash that replaces the text of an order key
 CLASS_FIELD = "c"
@@ -38,6 +40,7 @@
     idempotency_key: str  # empty if the message has none
     resubmitted: bool
     body: bytes
+    body_discarded: bool  # the body was too long for the memory that is left; it is empty here
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,23 +58,30 @@
 Request = SubmitRequest | PingRequest | QuitRequest
 
 
-def parse_request(arguments: list[bytes]) -> Request:
+def parse_request(arguments: list[bytes], *, discarded: bool = False) -> Request:
     """Parse a complete request, whose first argument is the command name.
 
-    Raises InvalidRequestError if it is not valid.
+    discarded: the last argument was discarded while the request was received. Raises InvalidRequestError if
+    the request is not valid.
     """
     name = arguments[0].upper() if arguments else b""
     parameters = arguments[1:]
     if name == b"MSG.PUT":
-        return parse_submit(parameters)
+        return parse_submit(parameters, body_discarded=discarded)
     if name == b"PING" and len(parameters) <= MAX_PING_ARGUMENTS:
-        return PingRequest(parameters[0] if parameters else None)
+        return PingRequest(_parse_ping_text(parameters[0]) if parameters else None)
     if name == b"QUIT":
         return QuitRequest()
     raise InvalidRequestError("unknown command")
 
 
-def parse_submit(arguments: list[bytes]) -> SubmitRequest:
+def _parse_ping_text(text: bytes) -> bytes:
+    if len(text) > MAX_PING_TEXT_BYTES:
+        raise InvalidRequestError(f"text: expected at most {MAX_PING_TEXT_BYTES} bytes, got {len(text)}")
+    return text
+
+
+def parse_submit(arguments: list[bytes], *, body_discarded: bool = False) -> SubmitRequest:
     """Parse the arguments of MSG.PUT, without the command name.
 
     Raises InvalidRequestError if they are not valid.
@@ -102,6 +112,7 @@
         idempotency_key=idempotency_key,
         resubmitted=fields.get(RESUBMITTED_FIELD) == "1",
         body=body,
+        body_discarded=body_discarded,
     )
 
 
@@ -116,6 +127,8 @@
 
 
 def _parse_fields(text: bytes) -> dict[str, str]:
+    if len(text) > MAX_FIELDS_BYTES:
+        raise InvalidRequestError(f"fields: expected at most {MAX_FIELDS_BYTES} bytes, got {len(text)}")
     try:
         return dict(pair.split("=", 1) for pair in text.decode().split(",") if pair)
     except ValueError:
--- a/message_relay/server/resp/connection.py
+++ b/message_relay/server/resp/connection.py
@@ -23,11 +23,10 @@
     parse_request,
 )
 from message_relay.server.resp.connection_owner import ConnectionOwner
-from message_relay.server.resp.reader import ProtocolError, RequestReader
+from message_relay.server.resp.reader import ProtocolError, RawRequest, RequestReader
 from message_relay.server.resp.reply_handle import ReplyHandle
 from message_relay.server.resp.socket_writer import MAX_UNSENT_BYTES, SocketWriter
 
-READ_BYTES = 1 << 16
 # Requests of one connection that may be open at once, or handled in one iteration of the event loop.
 MAX_PIPELINED_REQUESTS = 32
 MAX_INVALID_REQUESTS = 3  # of one connection, which is closed after the last
@@ -36,7 +35,7 @@
 IDLE_TIMEOUT_S = 3.0  # without an open request, for a connection that has sent a valid one
 # A connection without a valid request that is older than this is silent: it is closed first at the limit.
 SILENT_CONNECTION_AGE_S = 0.25
-MAX_FINAL_READS = 3  # of READ_BYTES each, before the process exits; two are enough for the longest request
+MAX_FINAL_READ_BYTES = 3 << 16  # read before the process exits; more than the longest request
 log = logging.getLogger(__name__)
 
 
@@ -65,21 +64,29 @@
         self.loop.add_reader(sock, self._on_readable)
 
     def _on_readable(self) -> None:
+        if not self._may_handle_request():
+            self._suspend_reading()
+        elif self._receive():
+            self._handle_complete_requests()
+
+    def _receive(self) -> int:
+        """Receive data into the reader; return the number of bytes, 0 if none arrived."""
+        data = self.owner.receive_buffer
         try:
-            data = self.sock.recv(READ_BYTES)
+            received_bytes = self.sock.recv_into(data, self.reader.wanted_bytes)
         except (BlockingIOError, InterruptedError):
-            return
+            return 0
         except OSError:
             self.close(CloseReason.CONNECTION_ERROR)
-            return
-        if not data:  # the client has shut down its sending side; it still gets the pending replies
+            return 0
+        if not received_bytes:  # the client has shut down its sending side; it still gets the pending replies
             self._stop_reading(CloseReason.CLIENT_CLOSED)
             self.flush()
-            return
+            return 0
         if self.has_sent_valid_request and not self.reader.mid_request:
             self.close_at_s = self.loop.time() + REQUEST_TIMEOUT_S
-        self.reader.feed(data)
-        self._handle_complete_requests()
+        self.reader.feed(data[:received_bytes])
+        return received_bytes
 
     def _handle_complete_requests(self) -> None:
         """Handle the complete requests in the buffer, but no more than may be handled now.
@@ -87,13 +94,36 @@
         Reading is suspended while further ones wait, which bounds the buffer. Invalid framing is answered
         with a protocol error and closes the connection.
         """
+        all_handled = self._handle_some_requests()
+        self._update_held_bytes()
+        if all_handled:
+            self._resume_reading()
+        else:
+            self._suspend_reading()
+
+    def _handle_some_requests(self) -> bool:
+        """Handle requests while that is permitted; return whether no complete one is left."""
         for _ in range(MAX_PIPELINED_REQUESTS):
             if not self._may_handle_request():
-                break
+                return False
             if not self._handle_next_request():
-                self._resume_reading()
-                return
-        self._suspend_reading()
+                return True
+        return False
+
+    def _update_held_bytes(self) -> None:
+        """Free the memory of handled requests, and count what an unfinished one holds."""
+        self.reader.release_parsed()
+        counted = not self.closed and not self.reader.discarding
+        self.owner.unfinished_requests.update(self, self.reader.held_bytes if counted else 0)
+
+    def discard_request(self) -> None:
+        """Free the memory of the unfinished request; it is refused when it is complete."""
+        self.reader.discard()
+
+    def refuse_unfinished_request(self) -> None:
+        """Refuse the request that is being received now, and close the connection after the reply."""
+        self._stop_reading(CloseReason.HANDED_OVER)
+        self.owner.refuse(self._add_reply())
 
     def _may_handle_request(self) -> bool:
         """Return whether the next request may be handled before a reply is sent."""
@@ -103,14 +133,15 @@
     def _handle_next_request(self) -> bool:
         """Handle the next request in the buffer; return False if it is not complete."""
         try:
-            arguments = self.reader.next_request()
+            request = self.reader.next_request()
         except ProtocolError as error:
             self._stop_reading(CloseReason.PROTOCOL_ERROR)
             self._add_reply().send(replies.error(f"Protocol error: {error}"))
             return True
-        if arguments is not None:
-            self._handle(arguments)
-        return arguments is not None
+        if request is not None:
+            self.owner.unfinished_requests.remove(self)
+            self._handle(request)
+        return request is not None
 
     def _suspend_reading(self) -> None:
         """Suspend reading until the requests in the buffer are handled."""
@@ -136,10 +167,13 @@
         if self._may_handle_request():
             self._handle_complete_requests()
 
-    def _handle(self, arguments: list[bytes]) -> None:
+    def _handle(self, request: RawRequest) -> None:
         reply = self._add_reply()
+        if request.discarded and not all(request.arguments[:-1]):
+            self.owner.refuse(reply)  # what it asked for is not known
+            return
         try:
-            self._execute(parse_request(arguments), reply)
+            self._execute(parse_request(request.arguments, discarded=request.discarded), reply)
         except InvalidRequestError as error:
             self._reject(reply, error)
             return
@@ -200,6 +234,8 @@
             return
         if self.writer.unsent:
             self.writer.write()
+        if self.closed:
+            return
         if self.reading_suspended:
             self._schedule_continuation()
         if self.pending_replies:
@@ -219,8 +255,11 @@
 
     @property
     def transferable(self) -> bool:
-        """Whether another process can continue the connection: it has no open request and is not closing."""
-        return not self.closing and not self.pending_replies
+        """Whether another process can continue the connection.
+
+        It cannot if a request is open or being discarded, or if the connection is closing.
+        """
+        return not self.closing and not self.pending_replies and not self.reader.discarding
 
     def export_state(self) -> list[Any]:
         """Return the state that another process needs to continue the connection."""
@@ -267,12 +306,15 @@
     def close_if_overdue(self, now_s: float) -> None:
         """Close the connection if its timeout has passed and no request is open.
 
-        If a request is partially read, an error reply is sent first. Otherwise the connection stays open
-        while data waits to be read.
+        A client that has not read its replies in that time does not wait for them any more. If a request is
+        partially read, an error reply is sent first. Otherwise the connection stays open while data waits to
+        be read.
         """
         if now_s < self.close_at_s or self.pending_replies:
             return
-        if self.reader.mid_request and not self.closing:
+        if self.writer.unsent:
+            self.close(CloseReason.REPLIES_NOT_READ)
+        elif self.reader.mid_request and not self.closing:
             self._stop_reading(CloseReason.REQUEST_TIMEOUT)
             self._add_reply().send(replies.error("request timed out before it was complete"))
         else:
@@ -314,12 +356,19 @@
 
         Those that wait in the buffer are handled too, however many are open.
         """
-        for _ in range(MAX_FINAL_READS):
-            if not self._accepts_requests or not has_unread_data(self.sock):
-                break
-            self._on_readable()
+        self._handle_all_requests()
+        remaining_bytes = MAX_FINAL_READ_BYTES
+        while remaining_bytes > 0 and self._accepts_requests and has_unread_data(self.sock):
+            received_bytes = self._receive()
+            if not received_bytes:
+                return
+            remaining_bytes -= received_bytes
+            self._handle_all_requests()
+
+    def _handle_all_requests(self) -> None:
         while self._accepts_requests and self._handle_next_request():
             pass
+        self._update_held_bytes()
 
     @property
     def _accepts_requests(self) -> bool:
@@ -332,11 +381,13 @@
         self.closed = self.closing = True
         self.close_reason = reason
         self.loop.remove_reader(self.sock)
-        self.loop.remove_writer(self.sock)
+        self.writer.close()
+        self.pending_replies.clear()
         for timer in (self.read_pause, self.continuation):
             if timer is not None:
                 timer.cancel()
         self.sock.close()
+        self.owner.unfinished_requests.remove(self)
         self.owner.connection_closed(self)
 
 
--- a/message_relay/server/resp/connection_owner.py
+++ b/message_relay/server/resp/connection_owner.py
@@ -8,6 +8,7 @@
 
 from message_relay.server.resp.commands import SubmitRequest
 from message_relay.server.resp.reply_handle import ReplyHandle
+from message_relay.server.resp.unfinished_requests import UnfinishedRequests
 
 if TYPE_CHECKING:
     from message_relay.server.resp.connection import ClientConnection
@@ -24,6 +25,18 @@
     def paused(self) -> bool:
         """Whether reading from connections is suspended."""
 
+    @property
+    def receive_buffer(self) -> memoryview:
+        """Buffer for the data of one receive; it is used again at the next one, of any connection."""
+
+    @property
+    def unfinished_requests(self) -> UnfinishedRequests:
+        """Memory that the unfinished requests of all connections hold."""
+
+    @property
+    def refuse(self) -> Callable[[ReplyHandle], None]:
+        """Callback that refuses a request whose content was discarded."""
+
     @property
     def submit(self) -> Callable[[SubmitRequest, ReplyHandle], None]:
         """Callback that accepts a submitted message; it raises InvalidRequestError for an invalid one."""
--- a/message_relay/server/resp/server.py
+++ b/message_relay/server/resp/server.py
@@ -15,7 +15,9 @@
 from message_relay.server.resp.commands import SubmitRequest
 from message_relay.server.resp.connection import ClientConnection
 from message_relay.server.resp.connection_table import ConnectionTable
+from message_relay.server.resp.reader import MAX_READ_BYTES
 from message_relay.server.resp.reply_handle import ReplyHandle
+from message_relay.server.resp.unfinished_requests import UnfinishedRequests
 
 LISTEN_BACKLOG = 512
 # Connections accepted in one iteration of the event loop; open connections are served after it.
@@ -35,11 +37,17 @@
 
     def __init__(
         self,
+        *,
         submit: Callable[[SubmitRequest, ReplyHandle], None],
-        max_connections: int,
+        refuse: Callable[[ReplyHandle], None],
         unready_reason: Callable[[], str],
+        max_connections: int,
+        max_buffer_bytes: int,
     ) -> None:
         self.submit = submit
+        self.refuse = refuse  # refuses a request whose content was discarded
+        self.receive_buffer = memoryview(bytearray(MAX_READ_BYTES))
+        self.unfinished_requests = UnfinishedRequests(max_buffer_bytes)
         # Returns the text of the error reply to a PING, empty if the reply is PONG.
         self.unready_reason = unready_reason
         self.table = ConnectionTable(max_connections)
@@ -163,7 +171,7 @@
                 "client connection closed: reason=%s age_s=%.2f buffered_bytes=%d open_requests=%d",
                 reason.value,
                 self.loop.time() - connection.connected_at_s,
-                len(connection.reader.buffer),
+                connection.reader.held_bytes,
                 len(connection.pending_replies),
             )
 
--- a/message_relay/server/resp/socket_writer.py
+++ b/message_relay/server/resp/socket_writer.py
@@ -9,6 +9,10 @@
 MAX_UNSENT_BYTES = 1 << 16  # buffered replies of a client that does not read them
 
 
+def _ignore_event() -> None:
+    """Do nothing; the callbacks of a closed writer."""
+
+
 class SocketWriter:
     """Sends bytes immediately if possible and buffers the rest until the socket is writable again."""
 
@@ -42,6 +46,15 @@
         elif self.unsent:
             self.loop.add_writer(self.sock, self._on_writable)
 
+    def close(self) -> None:
+        """Discard the unsent bytes and the callbacks, which refer to their owner in a cycle.
+
+        The caller closes the socket.
+        """
+        self.loop.remove_writer(self.sock)
+        self.unsent = b""
+        self.on_writable = self.on_failure = _ignore_event
+
     def _on_writable(self) -> None:
         self.loop.remove_writer(self.sock)
         self.on_writable()
--- a/message_relay/server/submission.py
+++ b/message_relay/server/submission.py
@@ -29,6 +29,7 @@
 from message_relay.server.resp.commands import InvalidRequestError, SubmitRequest
 from message_relay.server.resp.reply_handle import ReplyHandle
 
+BYTES_PER_MESSAGE = 2048  # memory of an open message besides its body, id and key
 MAX_LIFETIME_DEADLINE_RATIO = 10  # limit of a message's lifetime, in multiples of the deadline of its class
 log = logging.getLogger(__name__)
 
@@ -81,7 +82,10 @@
         attempts: AttemptRunner,
         answers: FinalAnswers,
         metrics: Metrics,
+        max_message_bytes: int,
     ) -> None:
+        self._max_message_bytes = max_message_bytes  # of the open and the pending messages together
+        self._pending_bytes = 0  # bodies of the pending messages
         self.pending: dict[int, PendingSubmission] = {}
         self.pending_ids: dict[str, int] = {}  # the keys of `pending` by message id
         # Set by the server: returns whether new messages are rejected, whatever the policy decides.
@@ -117,6 +121,10 @@
             # Accepted before, so it is acknowledged but not added again.
             reply.send(replies.OK)
             return
+        if request.body_discarded or not self._fits_memory(request):
+            self._metrics.record_rejected(message_class)
+            self._refuse(request.message_id, reply, RefusalReason.MEMORY)
+            return
         open_messages = self._journal.open_count + len(self.pending)
         quiesced = self.rejects_new_messages()
         if quiesced or open_messages >= self._settings.max_open_messages:
@@ -126,6 +134,20 @@
             return
         self._enqueue(self._new_message(request, message_class, tenant), reply)
 
+    def _fits_memory(self, request: SubmitRequest) -> bool:
+        """Return whether the message fits into the memory for open and pending messages."""
+        return self.message_bytes + len(request.body) + BYTES_PER_MESSAGE <= self._max_message_bytes
+
+    @property
+    def message_bytes(self) -> int:
+        """Memory of the open messages and of the pending ones, in bytes."""
+        message_count = self._journal.open_count + len(self.pending)
+        return self._journal.open_bytes + self._pending_bytes + message_count * BYTES_PER_MESSAGE
+
+    def refuse_discarded(self, reply: ReplyHandle) -> None:
+        """Refuse a request whose content was discarded while it was received."""
+        self._refuse("", reply, RefusalReason.MEMORY)
+
     def _refuse(self, message_id: str, reply: ReplyHandle, reason: RefusalReason) -> None:
         self._count_refusal(message_id, reason)
         reply.send(replies.busy(self._policy.capacity_retry_after_us()))
@@ -184,6 +206,7 @@
 
     def _enqueue(self, message: AcceptedMessage, reply: ReplyHandle) -> None:
         self._withdraw_older_message(message)
+        self._pending_bytes += len(message.body)
         self.pending[message.number] = PendingSubmission(message, [reply])
         self.pending_ids[message.id] = message.number
         self._events.add(submitted_event(message))
@@ -210,6 +233,7 @@
         """Return the pending submissions by message number and start an empty set for the next tick."""
         pending, self.pending = self.pending, {}
         self.pending_ids.clear()
+        self._pending_bytes = 0
         return pending
 
     def reject(self, pending: PendingSubmission, action: RejectMessage | FailMessage) -> None:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -13,6 +13,7 @@
 from loopback import Client, bounded, until, with_fleet
 
 from message_relay.server.resp import connection
+from message_relay.server.resp.close_reason import CloseReason
 
 PING = Client.command(b"PING")
 
@@ -95,7 +96,7 @@
             clients.table.sweep(clients.loop.time())
         elif close == "evicted":
             for other_connection in [c for c in clients.connections if c is not sender_connection]:
-                other_connection.close()
+                other_connection.close(CloseReason.EVICTED)
             assert not clients._evict_connection()
         elif close == "too many idle":
             clients.idle.pop(idle_connection)  # the longest idle is then the one that has just sent
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -11,10 +11,13 @@
     client_crowd.stop_half_way,
     client_crowd.write_slowly,
     client_crowd.send_large_messages,
+    client_crowd.send_many_short_fields,
+    client_crowd.request_long_echoes_unread,
+    client_crowd.pipeline_small_messages_unread,
 ]
 
 
-# Guards against buffers of unfinished requests that add up, over all connections, to more than the memory.
+# Guards against requests, replies and buffers that add up, over all connections, to more than the memory.
 @pytest.mark.parametrize("behaviour", BEHAVIOURS, ids=lambda behaviour: behaviour.__name__)
 def test_a_crowd_of_clients_does_not_exceed_the_memory_limit(behaviour, tmp_path):
     @with_fleet
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -8,7 +8,7 @@
 from loopback import Client, bounded, until, with_fleet
 
 from message_relay.server.hot_restart.snapshot import VERSION
-from message_relay.server.resp import connection
+from message_relay.server.resp import connection, reader
 
 COUNT = connection.MAX_PIPELINED_REQUESTS + 8
 
@@ -82,7 +82,7 @@
     lines = await replies(client, 300)
     assert lines[0] == "+OK" and all(line == "+OK" or line.startswith("-BUSY") for line in lines)
     assert len(open_counts) == 300 and max(open_counts) <= connection.MAX_PIPELINED_REQUESTS
-    assert max(buffer_sizes) < 20_100 + connection.READ_BYTES
+    assert max(buffer_sizes) < 20_100 + reader.MIN_READ_BYTES
     assert await client.send(Client.command(b"PING")) == "+PONG"
 
 
