Keep neither written requests nor unused response headers in memory

Same class as the incident: memory that a peer decides on, bounded for each call but not over all of them.

Cause: ResponseParser stored every header of a response, up to 32 KiB of text as some thousand strings, for as long as the call was in flight. HttpConnection kept the written request until the next one, on up to 204 idle connections.

Change: only the headers that are used are stored; a written request is released. A load report over 1,024 characters is invalid.

--- a/message_relay/server/endpoint_calls/responses.py
+++ b/message_relay/server/endpoint_calls/responses.py
@@ -18,6 +18,7 @@
 NO_SLOT_HEADER = "slots-taken"  # "1": no slot was free at this endpoint, which does not count as overload
 
 MAX_RETRY_AFTER_S = 120.0  # longest wait of any destination; a higher value is invalid and ignored
+MAX_LOAD_REPORT_LENGTH = 1024  # characters; a longer report is invalid, the settings name four values at most
 US_PER_S = 1e6
 
 BATCH_RESULTS = {
@@ -58,9 +59,12 @@
 
 
 def parse_load_report(headers: dict[str, str]) -> dict[str, float]:
-    """Return the values of a load report by field name; empty if it is missing or a value is malformed."""
+    """Return the values of a load report by field name; empty if it is missing, too long or malformed."""
+    report = headers.get(LOAD_REPORT_HEADER, "")
+    if len(report) > MAX_LOAD_REPORT_LENGTH:
+        return {}
     try:
-        pairs = (pair.split("=", 1) for pair in headers.get(LOAD_REPORT_HEADER, "").split(",") if pair)
+        pairs = (pair.split("=", 1) for pair in report.split(",") if pair)
         values = {name.strip(): float(value) for name, value in pairs}
     except ValueError:
         return {}
--- a/message_relay/server/http/connection.py
+++ b/message_relay/server/http/connection.py
@@ -45,7 +45,7 @@
         self.closed = False
         self.on_close: Callable[[], None] = _ignore_close
         self._response: ResponseParser | None = None  # to the request in flight
-        self._request = b""
+        self._request = b""  # empty once it is written: an idle connection keeps no copy of it
         self._bytes_sent = 0
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.sock = socket.socket(family, socket.SOCK_STREAM)
@@ -127,6 +127,7 @@
             self.loop.add_writer(self.sock, self._write)
             return
         self.loop.remove_writer(self.sock)
+        self._request, self._bytes_sent = b"", 0
         if self._response is not None:
             self._response.handler.request_written()
 
--- a/message_relay/server/http/response_handler.py
+++ b/message_relay/server/http/response_handler.py
@@ -25,7 +25,10 @@
         """
 
     def headers_received(self, status: int, headers: dict[str, str]) -> None:
-        """Handle the complete headers of the final response; their names are in lower case."""
+        """Handle the complete headers of the final response.
+
+        Only those of `response_parser.STORED_HEADERS` are passed; their names are in lower case.
+        """
 
     def body_received(self, data: bytes) -> None:
         """Handle a part of the body."""
--- a/message_relay/server/http/response_parser.py
+++ b/message_relay/server/http/response_parser.py
@@ -13,6 +13,10 @@
 # these limits is treated as malformed.
 MAX_HEADER_BYTES = 1 << 15  # bytes received before the headers of the final response are complete
 MAX_INFORMATIONAL_RESPONSES = 16
+# The headers that are used; the others are not stored, as a response may have thousands of them.
+STORED_HEADERS = frozenset(
+    {"content-length", "retry-after", "slots-taken", "transfer-encoding", "x-server-load"}
+)
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})(?: [^\r\n]*)?\r?\n")
 END_OF_HEADERS = b"\r\n\r\n"
 
@@ -105,9 +109,10 @@
             self.headers = {}
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header of this response."""
-        if not self.trailing_bytes:
-            self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        """Store a header of this response if it is used."""
+        lower_name = name.decode("latin-1").lower()
+        if lower_name in STORED_HEADERS and not self.trailing_bytes:
+            self.headers[lower_name] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
         """Report the headers of the final response; ignore those of other responses."""
