Expire stored ids before a message is refused for lack of space

Cause: ids and keys expired only when a record was written. accept() refused for lack of space before it wrote one; with no open message nothing else is written, so the ids stayed. Nor did anything expire for as long as a wall clock was set back.

The test fails without the change, in the same process and after a restart.

Change: accept() expires first; the interval between two expiries holds for a clock that was set back, too.

--- a/message_relay/server/journal/journal.py
+++ b/message_relay/server/journal/journal.py
@@ -155,6 +155,7 @@
 
     def accept(self, message: AcceptedMessage) -> None:
         """Record that the message is accepted; the journal stores and updates this object from then on."""
+        self._expire()  # here too: without open messages nothing else is written, and nothing would expire
         if not self._fits_limit(message.stored_bytes):
             raise JournalFullError(
                 f"disk limit: message_bytes={message.stored_bytes} live_bytes={self.live_bytes}"
@@ -212,7 +213,7 @@
 
     def _expire(self) -> None:
         now_s = time.time()
-        if now_s - self._last_expiry_at_s > EXPIRY_INTERVAL_S:
+        if abs(now_s - self._last_expiry_at_s) > EXPIRY_INTERVAL_S:  # the clock may have been set back
             self._last_expiry_at_s = now_s
             self._index.expire(now_s)
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -3,6 +3,8 @@
 import contextlib
 import time
 
+import pytest
+
 from message_relay.server.journal import AcceptedMessage, Journal, JournalFullError
 from message_relay.server.journal.records import MessageAccepted, encode_frame
 
@@ -88,6 +90,35 @@
     journal.close()
 
 
+# Guards against a relay that refuses every message for ever once the ids of completed ones fill the journal.
+@pytest.mark.parametrize("restart", [False, True])
+def test_a_journal_that_is_full_of_ids_accepts_messages_again_when_they_have_expired(
+    restart, tmp_path, monkeypatch
+):
+    now = [1000.0]
+    monkeypatch.setattr("time.time", lambda: now[0])
+    journal = Journal(tmp_path, 60_000).acquire()
+
+    def accept(number):
+        journal.accept(AcceptedMessage(number, f"m{number}", 0, 0, 7, "", now[0] + 1, False, b""))
+
+    number = 0
+    with contextlib.suppress(JournalFullError):
+        while True:
+            number += 1
+            accept(number)
+            journal.record_completed([number])
+    assert not journal.messages and len(journal.completed_ids) == number - 1 > 300
+    now[0] += 5
+    if restart:
+        journal.close()
+        journal = Journal(tmp_path, 60_000).acquire()
+    accept(number)
+    journal.record_completed([number])
+    assert len(journal.completed_ids) == 1
+    journal.close()
+
+
 def test_a_journal_near_its_limit_is_not_compacted_for_each_record(tmp_path, monkeypatch):
     journal = Journal(tmp_path, 200_000).acquire()
     accepted = 0
