Limit the memory of ids and keys that are stored of completed messages

One client that submits messages under ever new names filled the memory of a process: 30,000 ids in 12 s took it from 25.1 to 36.8 MiB resident, with idempotency keys to 42.5, where 32 are allowed (trials on, one each).

Cause: ids and keys were limited by the disk alone, 24 bytes of it for an entry that takes some 380 bytes of memory.

Change: they get a share of memory_mb. Beyond it new messages are refused with -BUSY until some have expired, since an id that is forgotten early could take effect twice. Open messages count for their later id and key. An open message counts for 1,024 bytes beside its body, as measured (1,321 with 200 bytes of body and 160 reserved).

--- a/message_relay/server/journal/expiring_index.py
+++ b/message_relay/server/journal/expiring_index.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 STORED_BYTES_PER_ENTRY = 24  # upper bound in a compacted file, without the identifier itself
+MEMORY_BYTES_PER_ENTRY = 400  # with the shares of the tables, without the identifier itself
 
 
 class ExpiringEntry(NamedTuple):
@@ -35,6 +36,11 @@
     def __len__(self) -> int:
         return len(self.entries)
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory of the entries in bytes, approximately."""
+        return self.stored_bytes + len(self.entries) * (MEMORY_BYTES_PER_ENTRY - STORED_BYTES_PER_ENTRY)
+
     def time_of(self, identifier: str) -> float:
         """Return the time stored for the identifier in wall clock seconds, 0 if there is no entry."""
         entry = self.entries.get(identifier)
--- a/message_relay/server/journal/journal.py
+++ b/message_relay/server/journal/journal.py
@@ -25,7 +25,7 @@
 from pathlib import Path
 
 from message_relay.server.journal.errors import JournalFullError
-from message_relay.server.journal.expiring_index import ExpiringIndex
+from message_relay.server.journal.expiring_index import MEMORY_BYTES_PER_ENTRY, ExpiringIndex
 from message_relay.server.journal.file import BLOCK_BYTES, JournalFile, round_up_to_blocks
 from message_relay.server.journal.index import JournalIndex
 from message_relay.server.journal.records import (
@@ -100,6 +100,12 @@
         """Idempotency keys with a possibly applied attempt; the time and zone are those of the first one."""
         return self._index.idempotency_keys
 
+    @property
+    def identifier_memory_bytes(self) -> int:
+        """Memory of the stored ids and keys in bytes, with an id and a key for each open message."""
+        open_messages = 2 * self.open_count * MEMORY_BYTES_PER_ENTRY
+        return self.completed_ids.memory_bytes + self.idempotency_keys.memory_bytes + open_messages
+
     @property
     def last_number(self) -> int:
         """Highest message number that was ever accepted."""
@@ -155,7 +161,7 @@
 
     def accept(self, message: AcceptedMessage) -> None:
         """Record that the message is accepted; the journal stores and updates this object from then on."""
-        self._expire()  # here too: without open messages nothing else is written, and nothing would expire
+        self.expire()  # here too: without open messages nothing else is written, and nothing would expire
         if not self._fits_limit(message.stored_bytes):
             raise JournalFullError(
                 f"disk limit: message_bytes={message.stored_bytes} live_bytes={self.live_bytes}"
@@ -200,7 +206,7 @@
     def _write(self, record: JournalRecord) -> None:
         self._file.require_owned()
         data = encode_frame(record.to_stored())
-        self._expire()
+        self.expire()
         if self._needs_compaction(len(data)):
             self.compact()
         if round_up_to_blocks(self._file.size_bytes + len(data)) > self.limit_bytes:
@@ -211,7 +217,8 @@
         self._file.append(data)
         self._index.apply(record)
 
-    def _expire(self) -> None:
+    def expire(self) -> None:
+        """Remove the ids and keys that have expired, at most once in EXPIRY_INTERVAL_S."""
         now_s = time.time()
         if abs(now_s - self._last_expiry_at_s) > EXPIRY_INTERVAL_S:  # the clock may have been set back
             self._last_expiry_at_s = now_s
--- a/message_relay/server/refusal.py
+++ b/message_relay/server/refusal.py
@@ -11,6 +11,7 @@
     OPEN_MESSAGES = "open_messages"  # their number is at its limit
     QUIESCED = "quiesced"
     MEMORY = "memory"  # for messages, or for requests that are being received
+    IDENTIFIERS = "identifiers"  # too many ids of completed messages and idempotency keys are stored
     HANDOVER = "handover"  # another process serves, or is about to
     POLICY = "policy"
     JOURNAL = "journal"  # it could not be recorded
--- a/message_relay/server/relay_server.py
+++ b/message_relay/server/relay_server.py
@@ -97,7 +97,7 @@
             attempts=self.attempts,
             answers=self.answers,
             metrics=self.metrics,
-            max_message_bytes=memory_limits.message_bytes,
+            memory_limits=memory_limits,
         )
         max_connections = int(self.configuration.max_descriptors * CLIENT_CONNECTION_SHARE)
         self.clients = ClientServer(
--- a/message_relay/server/submission.py
+++ b/message_relay/server/submission.py
@@ -23,13 +23,14 @@
 from message_relay.server.event_queue import EventQueue
 from message_relay.server.final_answers import FinalAnswers
 from message_relay.server.journal import AcceptedMessage, FinalStatus, Journal
+from message_relay.server.memory_limits import MemoryLimits
 from message_relay.server.metrics import Metrics
 from message_relay.server.refusal import RefusalReason
 from message_relay.server.resp import replies
 from message_relay.server.resp.commands import InvalidRequestError, SubmitRequest
 from message_relay.server.resp.reply_handle import ReplyHandle
 
-BYTES_PER_MESSAGE = 2048  # memory of an open message besides its body, id and key
+BYTES_PER_MESSAGE = 1024  # memory of an open message besides its body, id and key
 MAX_LIFETIME_DEADLINE_RATIO = 10  # limit of a message's lifetime, in multiples of the deadline of its class
 log = logging.getLogger(__name__)
 
@@ -82,9 +83,9 @@
         attempts: AttemptRunner,
         answers: FinalAnswers,
         metrics: Metrics,
-        max_message_bytes: int,
+        memory_limits: MemoryLimits,
     ) -> None:
-        self._max_message_bytes = max_message_bytes  # of the open and the pending messages together
+        self._memory_limits = memory_limits
         self._pending_bytes = 0  # bodies of the pending messages
         self.pending: dict[int, PendingSubmission] = {}
         self.pending_ids: dict[str, int] = {}  # the keys of `pending` by message id
@@ -121,22 +122,29 @@
             # Accepted before, so it is acknowledged but not added again.
             reply.send(replies.OK)
             return
-        if request.body_discarded or not self._fits_memory(request):
-            self._metrics.record_rejected(message_class)
-            self._refuse(request.message_id, reply, RefusalReason.MEMORY)
-            return
-        open_messages = self._journal.open_count + len(self.pending)
-        quiesced = self.rejects_new_messages()
-        if quiesced or open_messages >= self._settings.max_open_messages:
+        reason = self._refusal_reason(request)
+        if reason is not None:
             self._metrics.record_rejected(message_class)
-            reason = RefusalReason.QUIESCED if quiesced else RefusalReason.OPEN_MESSAGES
             self._refuse(request.message_id, reply, reason)
             return
         self._enqueue(self._new_message(request, message_class, tenant), reply)
 
+    def _refusal_reason(self, request: SubmitRequest) -> RefusalReason | None:
+        """Return why no message is accepted now, whatever the policy decides; None if one may be."""
+        if self.rejects_new_messages():
+            return RefusalReason.QUIESCED
+        if self._journal.open_count + len(self.pending) >= self._settings.max_open_messages:
+            return RefusalReason.OPEN_MESSAGES
+        if request.body_discarded or not self._fits_memory(request):
+            return RefusalReason.MEMORY
+        self._journal.expire()
+        if self._journal.identifier_memory_bytes > self._memory_limits.identifier_bytes:
+            return RefusalReason.IDENTIFIERS
+        return None
+
     def _fits_memory(self, request: SubmitRequest) -> bool:
         """Return whether the message fits into the memory for open and pending messages."""
-        return self.message_bytes + len(request.body) + BYTES_PER_MESSAGE <= self._max_message_bytes
+        return self.message_bytes + len(request.body) + BYTES_PER_MESSAGE <= self._memory_limits.message_bytes
 
     @property
     def message_bytes(self) -> int:
