--- a/message_relay/server/journal/file.py
+++ b/message_relay/server/journal/file.py
@@ -13,10 +13,11 @@
 import fcntl
 import logging
 import os
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 from message_relay.server.journal.errors import JournalError, JournalFullError, JournalLockedError
-from message_relay.server.journal.records import StoredValues, decode_frames
+from message_relay.server.journal.records import StoredValues, read_frames
 
 FILE_NAME = "messages.journal"
 REPLACEMENT_NAME = "messages.journal.new"
@@ -24,6 +25,7 @@
 FILE_MODE = 0o600
 BLOCK_BYTES = 512  # the disk limit applies to file sizes rounded up to blocks
 UNSUPPORTED_LOCK_ERRORS = (errno.ENOSYS, errno.ENOLCK, errno.EOPNOTSUPP)  # no file locks on this platform
+WRITE_BYTES = 1 << 16  # of a compacted file, at once
 NOT_OPEN = -1  # descriptor value while the file is not open
 
 log = logging.getLogger(__name__)
@@ -45,8 +47,8 @@
         self._descriptor = self._lock_descriptor = NOT_OPEN
         self._released_identity = (-1, -1)  # inode and size when this process released the file
 
-    def acquire(self) -> list[StoredValues]:
-        """Lock and open the file, and return the stored values of its records.
+    def acquire(self, on_record: Callable[[StoredValues], None]) -> None:
+        """Lock and open the file, and pass the stored values of each record to `on_record`.
 
         An incomplete record at the end, which an interrupted write left behind, is removed from the file.
         Raises `JournalLockedError` if another process holds the lock, `OSError` if the file is not
@@ -55,13 +57,16 @@
         self._acquire_lock()
         self._replacement_path.unlink(missing_ok=True)
         self._descriptor = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, FILE_MODE)
-        data = self._path.read_bytes()
-        records, end = decode_frames(data)
-        if end < len(data):
-            log.warning("journal: incomplete record at the end removed, bytes=%d", len(data) - end)
-            os.ftruncate(self._descriptor, end)
-        self.size_bytes = end
-        return records
+        size_bytes = os.fstat(self._descriptor).st_size
+        self.size_bytes = 0
+        with self._path.open("rb") as file:
+            for values, end in read_frames(file, size_bytes):
+                on_record(values)
+                self.size_bytes = end
+        if self.size_bytes < size_bytes:
+            removed_bytes = size_bytes - self.size_bytes
+            log.warning("journal: incomplete record at the end removed, bytes=%d", removed_bytes)
+            os.ftruncate(self._descriptor, self.size_bytes)
 
     def reacquire(self) -> None:
         """Lock and open the file again if it has not changed since this process released it.
@@ -107,17 +112,16 @@
             raise JournalFullError(f"no space left on the disk: wrote {written} of {len(data)} bytes")
         self.size_bytes += written
 
-    def replace(self, data: bytes) -> None:
-        """Replace the file atomically by a new one with this data.
+    def replace(self, frames: Iterable[bytes], max_bytes: int) -> None:
+        """Replace the file atomically by a new one with these frames.
 
-        If writing or renaming the new file fails, the error is logged and the old file stays in use. Raises
-        `OSError` only if the new file can't be created.
+        The old file stays in use if the new one would exceed `max_bytes`, or if writing or renaming it fails,
+        which is logged. Raises `OSError` only if the new file can't be created.
         """
         flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND
         replacement = os.open(self._replacement_path, flags, FILE_MODE)
         try:
-            if os.write(replacement, data) != len(data):
-                raise JournalFullError(f"no space left on the disk: compacted file of {len(data)} bytes")
+            size_bytes = _write_frames(replacement, frames, max_bytes)
             os.rename(self._replacement_path, self._path)
         except OSError as error:
             log.error("journal: compaction failed, error=%s", error)
@@ -126,7 +130,7 @@
             return
         os.close(self._descriptor)
         self._descriptor = replacement
-        self.size_bytes = len(data)
+        self.size_bytes = size_bytes
 
     def _acquire_lock(self) -> None:
         descriptor = os.open(self._lock_path, os.O_RDWR | os.O_CREAT, FILE_MODE)
@@ -145,3 +149,26 @@
     def _identity(self) -> tuple[int, int]:
         status = os.fstat(self._descriptor)
         return status.st_ino, status.st_size
+
+
+def _write_frames(descriptor: int, frames: Iterable[bytes], max_bytes: int) -> int:
+    """Write the frames in chunks of about `WRITE_BYTES` and return their size in bytes.
+
+    Raises `JournalFullError` if the size exceeds `max_bytes` or the disk is full, `OSError` if writing fails.
+    """
+    chunk, size_bytes = bytearray(), 0
+    for frame in frames:
+        chunk += frame
+        size_bytes += len(frame)
+        if size_bytes > max_bytes:
+            raise JournalFullError(f"compacted file exceeds {max_bytes} bytes")
+        if len(chunk) >= WRITE_BYTES:
+            _write_chunk(descriptor, chunk)
+            chunk.clear()
+    _write_chunk(descriptor, chunk)
+    return size_bytes
+
+
+def _write_chunk(descriptor: int, chunk: bytearray) -> None:
+    if os.write(descriptor, chunk) != len(chunk):
+        raise JournalFullError(f"no space left on the disk: wrote a part of {len(chunk)} bytes")
--- a/message_relay/server/journal/journal.py
+++ b/message_relay/server/journal/journal.py
@@ -39,6 +39,7 @@
     JournalRecord,
     MessageAccepted,
     MessagesCompleted,
+    StoredValues,
     decode_record,
     encode_frame,
 )
@@ -136,12 +137,14 @@
 
         Raises `JournalLockedError` if another process holds the lock.
         """
-        for values in self._file.acquire():
-            record = decode_record(values)
-            if record is not None:
-                self._index.apply(record)
+        self._file.acquire(self._restore_record)
         return self
 
+    def _restore_record(self, values: StoredValues) -> None:
+        record = decode_record(values)
+        if record is not None:
+            self._index.apply(record)
+
     def reacquire(self) -> None:
         """Acquire the lock again after `close()` and continue with the state in memory.
 
@@ -198,10 +201,9 @@
 
         Both files exist until the new one is complete; nothing is done if that would exceed the disk limit.
         """
-        data = b"".join(encode_frame(record.to_stored()) for record in self._index.compacted_records())
-        both_bytes = round_up_to_blocks(self._file.size_bytes) + round_up_to_blocks(len(data))
-        if both_bytes <= self.limit_bytes:
-            self._file.replace(data)
+        frames = (encode_frame(record.to_stored()) for record in self._index.compacted_records())
+        remaining_bytes = self.limit_bytes - round_up_to_blocks(self._file.size_bytes)
+        self._file.replace(frames, remaining_bytes // BLOCK_BYTES * BLOCK_BYTES)
 
     def _write(self, record: JournalRecord) -> None:
         self._file.require_owned()
--- a/message_relay/server/journal/records.py
+++ b/message_relay/server/journal/records.py
@@ -9,9 +9,9 @@
 import enum
 import struct
 import zlib
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
-from typing import Any, NamedTuple
+from typing import Any, BinaryIO, NamedTuple
 
 import msgpack
 
@@ -286,18 +286,18 @@
     return bytes(FRAME_HEADER.pack(len(payload), zlib.crc32(payload)) + payload)
 
 
-def decode_frames(data: bytes) -> tuple[list[StoredValues], int]:
-    """Return the values of the valid records at the start of the data, and the offset where they end.
+def read_frames(file: BinaryIO, size_bytes: int) -> Iterator[tuple[StoredValues, int]]:
+    """Yield the values of each valid record at the start of a file, and the offset where it ends.
 
-    Decoding stops at the first frame that is incomplete or has a wrong checksum.
+    Ends at the first frame that is incomplete or has a wrong checksum. One record at a time is in memory.
     """
-    records: list[StoredValues] = []
     offset = 0
-    while offset + FRAME_HEADER.size <= len(data):
-        size, checksum = FRAME_HEADER.unpack_from(data, offset)
-        payload = data[offset + FRAME_HEADER.size : offset + FRAME_HEADER.size + size]
-        if len(payload) != size or zlib.crc32(payload) != checksum or not size:
-            break
-        records.append(msgpack.unpackb(payload))
-        offset += FRAME_HEADER.size + size
-    return records, offset
+    while offset + FRAME_HEADER.size <= size_bytes:
+        payload_bytes, checksum = FRAME_HEADER.unpack(file.read(FRAME_HEADER.size))
+        offset += FRAME_HEADER.size + payload_bytes
+        if not payload_bytes or offset > size_bytes:
+            return
+        payload = file.read(payload_bytes)
+        if zlib.crc32(payload) != checksum:
+            return
+        yield msgpack.unpackb(payload), offset
