Do not send on what a client sent before it left

A client that closed its connection with 200 requests unread had two of them delivered, one that reset it had one, although it could not hear +OK and is free to submit them again under other ids.

Cause: a connection counted as open until a read or write failed. Data can be read after a reset, so requests were handled as if the client were there; the first +OK after a close is written without an error, and its message had been recorded and was sent.

Change: after each read and before each acceptance the socket is asked whether it was reset. If the client had stopped sending before +OK was written, and +OK resets the connection, the acceptance is revoked: a record of its own removes the message before any attempt, so that the same id may come again. A half-closed connection is served as before.

On a network with delay the reset arrives later than on loopback: up to 32 requests of one read can then still be delivered.

--- a/message_relay/server/journal/index.py
+++ b/message_relay/server/journal/index.py
@@ -7,6 +7,7 @@
 
 from message_relay.server.journal.expiring_index import ExpiringIndex
 from message_relay.server.journal.records import (
+    AcceptanceRevoked,
     AcceptedMessage,
     AttemptNotApplied,
     AttemptStarted,
@@ -79,6 +80,8 @@
                 message = self.messages.get(record.number)
                 if message is not None:
                     self.mark_final(message, record.status, record.retry_after_ms)
+            case AcceptanceRevoked():
+                self._remove_message(record.number)
             case EndpointCordonChanged():
                 self._change_cordon(record)
             case JournalSummary():
@@ -149,13 +152,18 @@
 
     def _complete(self, record: MessagesCompleted) -> None:
         for number in record.numbers:
-            message = self.messages.pop(number, None)
-            if message is None:
-                continue
+            message = self._remove_message(number)
+            if message is not None:
+                self.completed_ids.add(message.id, record.at_s, message.deadline_s + COMPLETED_ID_GRACE_S)
+
+    def _remove_message(self, number: int) -> AcceptedMessage | None:
+        """Remove the message and return it, None if it is not stored."""
+        message = self.messages.pop(number, None)
+        if message is not None:
             self.numbers_by_id.pop(message.id, None)
             self._remove_from_open(message)
             self.open_bytes -= message.stored_bytes
-            self.completed_ids.add(message.id, record.at_s, message.deadline_s + COMPLETED_ID_GRACE_S)
+        return message
 
     def _remove_from_open(self, message: AcceptedMessage) -> None:
         """Remove the message from the open messages, unless its final answer has done that already.
--- a/message_relay/server/journal/journal.py
+++ b/message_relay/server/journal/journal.py
@@ -9,6 +9,7 @@
 - `FinalAnswerRecorded` before the final answer is sent to discovery;
 - `MessagesCompleted` when a response ended the message, or discovery accepted its final answer;
 - `EndpointCordonChanged` when operators cordon an endpoint or remove its cordon;
+- `AcceptanceRevoked` when the client left before it could receive +OK, and no attempt has started;
 - `JournalSummary` as the first record of a compacted file.
 
 At a restart, an attempt is possibly applied if the journal has its start but no outcome: neither
@@ -30,6 +31,7 @@
 from message_relay.server.journal.index import JournalIndex
 from message_relay.server.journal.records import (
     UNKNOWN_ZONE,
+    AcceptanceRevoked,
     AcceptedMessage,
     AttemptNotApplied,
     AttemptStarted,
@@ -172,6 +174,10 @@
             )
         self._write(MessageAccepted(message))
 
+    def revoke(self, number: int) -> None:
+        """Record that the message is as if it had never been accepted; no attempt may have started."""
+        self._write(AcceptanceRevoked(number))
+
     def record_attempt(self, numbers: Sequence[int], at_s: float, zone: int = UNKNOWN_ZONE) -> None:
         """Record that an attempt with these messages is about to be written to an endpoint."""
         self._write(AttemptStarted(numbers, at_s, zone))
--- a/message_relay/server/journal/records.py
+++ b/message_relay/server/journal/records.py
@@ -26,6 +26,7 @@
 COMPLETED = "over"
 FINAL_ANSWER_RECORDED = "final"
 CORDON_CHANGED = "cordon"
+ACCEPTANCE_REVOKED = "revoked"
 SUMMARY = "known"
 
 StoredValues = list[Any]  # record code and values, as packed by MessagePack
@@ -213,6 +214,25 @@
         return cls(values[1], FinalStatus(values[2]), values[3])
 
 
+class AcceptanceRevoked(NamedTuple):
+    """The message is as if it had never been accepted: its client left before it could receive +OK.
+
+    Written before any attempt. The client may submit the message again under the same id. Builds that do not
+    know this record deliver the message.
+    """
+
+    number: int
+
+    def to_stored(self) -> StoredValues:
+        """Return the record's stored form."""
+        return [ACCEPTANCE_REVOKED, self.number]
+
+    @classmethod
+    def from_stored(cls, values: StoredValues) -> AcceptanceRevoked:
+        """Build the record from its stored form."""
+        return cls(values[1])
+
+
 class EndpointCordonChanged(NamedTuple):
     """Operators cordoned an endpoint or removed its cordon."""
 
@@ -259,6 +279,7 @@
     | AttemptNotApplied
     | MessagesCompleted
     | FinalAnswerRecorded
+    | AcceptanceRevoked
     | EndpointCordonChanged
     | JournalSummary
 )
@@ -269,6 +290,7 @@
     ATTEMPT_NOT_APPLIED: AttemptNotApplied.from_stored,
     COMPLETED: MessagesCompleted.from_stored,
     FINAL_ANSWER_RECORDED: FinalAnswerRecorded.from_stored,
+    ACCEPTANCE_REVOKED: AcceptanceRevoked.from_stored,
     CORDON_CHANGED: EndpointCordonChanged.from_stored,
     SUMMARY: JournalSummary.from_stored,
 }
--- a/message_relay/server/resp/connection.py
+++ b/message_relay/server/resp/connection.py
@@ -25,6 +25,7 @@
 from message_relay.server.resp.connection_owner import ConnectionOwner
 from message_relay.server.resp.reader import ProtocolError, RawRequest, RequestReader
 from message_relay.server.resp.reply_handle import ReplyHandle
+from message_relay.server.resp.socket_state import has_unread_data, peer_stopped_sending, was_reset
 from message_relay.server.resp.socket_writer import MAX_UNSENT_BYTES, SocketWriter
 
 # Requests of one connection that may be open at once, or handled in one iteration of the event loop.
@@ -83,6 +84,8 @@
             self._stop_reading(CloseReason.CLIENT_CLOSED)
             self.flush()
             return 0
+        if not self.check_connected():
+            return 0  # nobody would receive the replies to what was sent before the reset
         if self.has_sent_valid_request and not self.reader.mid_request:
             self.close_at_s = self.loop.time() + REQUEST_TIMEOUT_S
         self.reader.feed(data[:received_bytes])
@@ -243,9 +246,24 @@
         if self.has_sent_valid_request and not self.closing:
             self.owner.connection_idle(self)
         self._restart_timeout(self.loop.time())
-        if self.closing and not self.writer.unsent:
+        if self.closing and not self.writer.unsent and self.check_connected():
             self.close(self.close_reason)
 
+    def check_connected(self) -> bool:
+        """Return whether replies can be sent; close the connection if it was reset."""
+        if not self.closed and was_reset(self.sock):
+            self.close(CloseReason.CONNECTION_ERROR)
+        return not self.closed
+
+    @property
+    def failed(self) -> bool:
+        """Whether the connection broke or was reset; its last replies have probably not been received."""
+        return self.closed and self.close_reason is CloseReason.CONNECTION_ERROR
+
+    def client_stopped_sending(self) -> bool:
+        """Return whether the client has closed the connection or its sending side."""
+        return self.closed or peer_stopped_sending(self.sock)
+
     def _writing_failed(self) -> None:
         unread = len(self.writer.unsent) > MAX_UNSENT_BYTES
         self.close(CloseReason.REPLIES_NOT_READ if unread else CloseReason.CONNECTION_ERROR)
@@ -391,14 +409,6 @@
         self.owner.connection_closed(self)
 
 
-def has_unread_data(sock: socket.socket) -> bool:
-    """Return whether the kernel holds data from the peer that has not been read."""
-    try:
-        return bool(sock.recv(1, socket.MSG_PEEK))
-    except OSError:
-        return False
-
-
 def _reply_to_ping(text: bytes | None, unready_reason: str) -> bytes:
     if unready_reason:
         return replies.error(unready_reason)
--- a/message_relay/server/resp/reply_handle.py
+++ b/message_relay/server/resp/reply_handle.py
@@ -8,7 +8,15 @@
 class ReplyingConnection(Protocol):
     """Connection on which replies are sent, as far as a handle uses it."""
 
-    closed: bool
+    @property
+    def failed(self) -> bool:
+        """Whether the connection broke or was reset."""
+
+    def check_connected(self) -> bool:
+        """Return whether replies can be sent; close the connection if it was reset."""
+
+    def client_stopped_sending(self) -> bool:
+        """Return whether the client has closed the connection or its sending side."""
 
     def flush(self) -> None:
         """Send the available replies up to the first that is pending."""
@@ -25,8 +33,18 @@
 
     @property
     def client_connected(self) -> bool:
-        """Whether the connection is still open, so that the reply can be sent."""
-        return not self.connection.closed
+        """Whether the connection is open and was not reset, so that the reply can be sent."""
+        return self.connection.check_connected()
+
+    @property
+    def connection_failed(self) -> bool:
+        """Whether the connection broke or was reset, before the reply was sent or because of it."""
+        return not self.connection.check_connected() and self.connection.failed
+
+    @property
+    def client_stopped_sending(self) -> bool:
+        """Whether the client has closed the connection, or at least its sending side."""
+        return self.connection.client_stopped_sending()
 
     def send(self, text: bytes) -> None:
         """Send the reply as soon as all earlier ones are sent; calls after the first have no effect."""
--- /dev/null
+++ b/message_relay/server/resp/socket_state.py
@@ -0,0 +1,38 @@
+"""What the kernel knows of a socket's peer, without reading from the socket."""
+
+from __future__ import annotations
+
+import select
+import socket
+
+
+def has_unread_data(sock: socket.socket) -> bool:
+    """Return whether the kernel holds data from the peer that has not been read."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
+def was_reset(sock: socket.socket) -> bool:
+    """Return whether the connection has failed; the peer's data can be read even then.
+
+    The kernel reports a failure once, so the caller must close the socket.
+    """
+    try:
+        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+    except OSError:
+        return True
+
+
+def peer_stopped_sending(sock: socket.socket) -> bool:
+    """Return whether the peer has closed the connection or shut down its sending side.
+
+    This is known as soon as it has happened, also while data that was sent before is unread.
+    """
+    poll = select.poll()
+    try:
+        poll.register(sock, select.POLLRDHUP)
+        return bool(poll.poll(0))
+    except OSError:
+        return False
--- a/message_relay/server/submission.py
+++ b/message_relay/server/submission.py
@@ -45,6 +45,11 @@
     message: AcceptedMessage
     replies: list[ReplyHandle]
 
+    @property
+    def client_connected(self) -> bool:
+        """Whether at least one of its clients can receive the reply."""
+        return any(reply.client_connected for reply in self.replies)
+
     def answer(self, text: bytes) -> None:
         """Send the reply to each submission of the message."""
         for reply in self.replies:
@@ -255,10 +260,11 @@
     def accept(self, pending: PendingSubmission) -> None:
         """Record the message in the journal, then send the reply.
 
-        The message is withdrawn instead if its clients have disconnected or if it cannot be recorded.
+        The message is withdrawn instead if its clients have disconnected or if it cannot be recorded. If the
+        clients turn out to have left before the reply, its acceptance is revoked.
         """
         message = pending.message
-        if not any(reply.client_connected for reply in pending.replies):
+        if not pending.client_connected:
             self._events.add(MessageWithdrawn(message.number))
             self._count_refusal(message.id, RefusalReason.CLIENT_LEFT)
             return
@@ -272,4 +278,22 @@
             pending.answer(replies.busy(self._policy.capacity_retry_after_us()))
             return
         self._answers.start_deadline_timer(message)
+        clients_stopped_sending = all(reply.client_stopped_sending for reply in pending.replies)
         pending.answer(replies.OK)
+        if clients_stopped_sending and all(reply.connection_failed for reply in pending.replies):
+            self._revoke(message)
+
+    def _revoke(self, message: AcceptedMessage) -> None:
+        """Revoke the acceptance of a message whose clients had left before the reply was sent.
+
+        A reply resets a connection that the client has closed. One that is reset for another reason may have
+        carried the reply to its client, and the message stays accepted.
+        """
+        try:
+            self._journal.revoke(message.number)
+        except OSError as error:
+            log.error("acceptance not revoked: message=%s error=%s", message.id, error)
+            return
+        self._answers.cancel_deadline_timer(message.number)
+        self._events.add(MessageWithdrawn(message.number))
+        self._count_refusal(message.id, RefusalReason.CLIENT_LEFT)
--- /dev/null
+++ b/tests/test_departed_clients.py
@@ -0,0 +1,58 @@
+"""A client that has left: what it sent is not delivered, and what it submits again is not sent twice."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+from loopback import Client, until, with_fleet
+
+from message_relay.server.journal import Journal
+
+COUNT = 100
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+def allow_all_messages(fleet):
+    fleet.raw_settings["policyLimits"]["maxOpen"] = 2 * COUNT
+    fleet.raw_settings["weightSource"] = "silent"  # no rate limit
+
+
+def send_and_leave(port, data, *, reset):
+    """Send the data on a new connection and close it before the relay has read anything."""
+    sock = socket.create_connection(("127.0.0.1", port))
+    sock.sendall(data)
+    if reset:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    sock.close()
+
+
+async def called_ids(endpoint, count):
+    return [(await endpoint.call())[1]["x-request-id"] for _ in range(count)]
+
+
+# Guards against requests that were unread when their client left, and are sent on afterwards.
+@pytest.mark.parametrize("reset", [False, True], ids=["closed", "reset"])
+@pytest.mark.parametrize("count", [1, COUNT])
+def test_requests_that_are_unread_when_their_client_leaves_are_not_sent_on(tmp_path, reset, count):
+    @with_fleet
+    async def run(fleet):
+        endpoint = await fleet.endpoint("a", rate=0.0)
+        allow_all_messages(fleet)
+        client = await fleet.start_relay()
+        ids = [f"m{number}" for number in range(count)]
+        data = b"".join(Client.message(message_id, message_class="unsafe") for message_id in ids)
+        send_and_leave(fleet.relay_port(), data, reset=reset)
+        await until(lambda: fleet.relay.clients.close_counts)
+        await asyncio.sleep(0.05)
+        assert endpoint.calls.empty() and not fleet.relay.journal.messages
+        # Nothing was promised: the same messages may come again, and each of them is sent once.
+        assert await client.put("m0", message_class="unsafe") == "+OK"
+        assert await called_ids(endpoint, 1) == ["m0"]
+        await until(lambda: not fleet.relay.journal.messages)
+        fleet.relay.close()
+        journal = Journal(fleet.folder / "state", 1_000_000).acquire()
+        assert not journal.messages and list(journal.completed_ids.entries) == ["m0"]
+        journal.close()
+
+    run(tmp_path)
