Remember a completed id for as long as its class lets it come again

Cause: the id of a completed message was forgotten 2 s after the message's own deadline. A message submitted with 300 ms left was forgotten after 2.3 s, though its class lets clients submit it for 6 to 16 s. An unsafe one then took effect twice.

Evidence: the test submits an unsafe message with 300 ms left, and its id again after 3.5 s: two calls before the change, one after.

Change: the id is kept until the deadline, or for the longest deadline of a class after its completion if that is later, plus 2 s as before. For messages with their class's full time the difference is the time of the delivery.

--- a/message_relay/server/journal/index.py
+++ b/message_relay/server/journal/index.py
@@ -20,7 +20,8 @@
     MessagesCompleted,
 )
 
-COMPLETED_ID_GRACE_S = 2.0  # time for which the id of a completed message is stored after its deadline
+# Time for which the id of a completed message is stored after its deadline, or after the retention time.
+COMPLETED_ID_GRACE_S = 2.0
 KEY_GRACE_S = 2.0  # time for which an idempotency key is stored after its window
 STORED_BYTES_PER_CORDON = 8  # upper bound in a compacted file, without the uid itself
 STORED_BYTES_BASE = 512  # size of an empty compacted file, rounded up to a block
@@ -33,7 +34,7 @@
     the journal. Both give the same state.
     """
 
-    def __init__(self, key_window_s: float) -> None:
+    def __init__(self, key_window_s: float, id_retention_s: float = 0.0) -> None:
         self.messages: dict[int, AcceptedMessage] = {}
         self.numbers_by_id: dict[str, int] = {}
         self.open_count = 0  # open messages: those without an outcome yet
@@ -43,6 +44,7 @@
         self.cordoned: dict[str, None] = {}  # uids, the oldest cordon first
         self.completed_ids = ExpiringIndex()
         self.idempotency_keys = ExpiringIndex()  # start and zone of the key's first possibly applied attempt
+        self._id_retention_s = id_retention_s  # from the completion, if the deadline is earlier
         self._key_lifetime_s = key_window_s + KEY_GRACE_S
 
     @property
@@ -154,7 +156,8 @@
         for number in record.numbers:
             message = self._remove_message(number)
             if message is not None:
-                self.completed_ids.add(message.id, record.at_s, message.deadline_s + COMPLETED_ID_GRACE_S)
+                expires_at_s = max(message.deadline_s, record.at_s + self._id_retention_s)
+                self.completed_ids.add(message.id, record.at_s, expires_at_s + COMPLETED_ID_GRACE_S)
 
     def _remove_message(self, number: int) -> AcceptedMessage | None:
         """Remove the message and return it, None if it is not stored."""
--- a/message_relay/server/journal/journal.py
+++ b/message_relay/server/journal/journal.py
@@ -60,10 +60,12 @@
     is not the owner, and `OSError` if the write failed. The record is then neither stored nor applied.
     """
 
-    def __init__(self, folder: Path, limit_bytes: int, key_window_s: float = 0.0) -> None:
+    def __init__(
+        self, folder: Path, limit_bytes: int, key_window_s: float = 0.0, id_retention_s: float = 0.0
+    ) -> None:
         self.limit_bytes = limit_bytes
         self._file = JournalFile(folder)
-        self._index = JournalIndex(key_window_s)
+        self._index = JournalIndex(key_window_s, id_retention_s)
         self._last_expiry_at_s = 0.0
 
     # Current state, read-only for callers
--- a/message_relay/server/relay_server.py
+++ b/message_relay/server/relay_server.py
@@ -57,7 +57,13 @@
         settings, configuration = self.settings, self.configuration
         key_window_s = max(message_class.key_window_us for message_class in settings.classes) / 1e6
         self.policy = DeliveryPolicy(settings, configuration.seed)
-        self.journal = Journal(configuration.state_directory, configuration.disk_limit_bytes, key_window_s)
+        self.journal = Journal(
+            configuration.state_directory,
+            configuration.disk_limit_bytes,
+            key_window_s,
+            # A client may submit a message again for as long as its class allows.
+            id_retention_s=max(message_class.deadline_us for message_class in settings.classes) / 1e6,
+        )
         self.metrics = Metrics([message_class.name for message_class in settings.classes])
         self.events = EventQueue(self._loop, settings.tick_interval_us)
         self.answers = FinalAnswers(self._loop, self.journal, self.events, self.metrics)
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -56,3 +56,19 @@
         journal.close()
 
     run(tmp_path)
+
+
+# Guards against an id that is forgotten after its message's own short deadline and then takes effect again.
+@with_fleet
+async def test_an_id_that_comes_again_while_its_class_allows_it_is_not_sent_again(fleet):
+    endpoint = await fleet.endpoint("a")
+    client = await fleet.start_relay()
+    assert await client.put("u", message_class="unsafe", lifetime_ms=300) == "+OK"
+    await called_ids(endpoint, 1)
+    await asyncio.sleep(3.5)
+    later_client = await Client().open(fleet.relay_port())
+    assert await later_client.put("other") == "+OK"  # the journal expires ids when it writes
+    await called_ids(endpoint, 1)
+    assert await later_client.put("u", message_class="unsafe", lifetime_ms=300) == "+OK"
+    await asyncio.sleep(0.1)
+    assert endpoint.calls.empty()
