Acknowledge an accepted id also at the process that hands over

Cause: from the start of a handover a process refused each message before it looked for its id. A refusal promises that the message has not run; the client may submit it under another id, and an unsafe message takes effect twice.

Change: the id is looked for first.

--- a/message_relay/server/submission.py
+++ b/message_relay/server/submission.py
@@ -117,9 +117,6 @@
         destination is not valid.
         """
         message_class, tenant = self._validate(request)
-        if self._events.paused:
-            self._refuse(request.message_id, reply, RefusalReason.HANDOVER)
-            return
         if request.message_id in self.pending_ids:
             self.pending[self.pending_ids[request.message_id]].replies.append(reply)
             return
@@ -127,6 +124,9 @@
             # Accepted before, so it is acknowledged but not added again.
             reply.send(replies.OK)
             return
+        if self._events.paused:
+            self._refuse(request.message_id, reply, RefusalReason.HANDOVER)
+            return
         reason = self._refusal_reason(request)
         if reason is not None:
             self._metrics.record_rejected(message_class)
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -5,9 +5,11 @@
 import struct
 
 import pytest
-from loopback import Client, until, with_fleet
+from hot_restart_pair import with_process_pair
+from loopback import Client, bounded, until, with_fleet
 
 from message_relay.server.journal import Journal
+from message_relay.server.resp.reply_handle import ReplyHandle
 
 COUNT = 100
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -72,3 +74,46 @@
     assert await later_client.put("u", message_class="unsafe", lifetime_ms=300) == "+OK"
     await asyncio.sleep(0.1)
     assert endpoint.calls.empty()
+
+
+# Guards against a refusal, which promises that nothing ran, of an id that the other process accepted.
+@with_process_pair
+async def test_an_id_that_comes_again_at_either_process_of_an_upgrade_is_sent_once(fleet, start):
+    endpoint = await fleet.endpoint("a")
+    client, pair = await start()
+    assert await client.put("u", message_class="unsafe") == "+OK"
+    assert await called_ids(endpoint, 1) == ["u"]
+    old = fleet.relay
+    await pair.hot_restart()
+    assert await client.put("u", message_class="unsafe") == "+OK"
+    submitted, submit = [], old.submissions.submit
+    old.submissions._enqueue = lambda *arguments: submitted.append(arguments)
+    reply = ReplyHandle(StubConnection())
+    parsed = await captured_request(fleet, "u")
+    submit(parsed, reply)
+    assert reply.text == b"+OK\r\n" and not submitted
+    await asyncio.sleep(0.1)
+    assert endpoint.calls.empty()
+
+
+class StubConnection:
+    failed = False
+
+    def flush(self):
+        pass
+
+    def check_connected(self):
+        return True
+
+    def client_stopped_sending(self):
+        return False
+
+
+async def captured_request(fleet, message_id):
+    """Return the parsed request that submits the message, as a client connection passes it on."""
+    requests, submit = [], fleet.relay.clients.submit
+    fleet.relay.clients.submit = lambda request, reply: (requests.append(request), submit(request, reply))
+    client = await Client().open(fleet.relay_port())
+    await bounded(client.put(message_id, message_class="unsafe"))
+    fleet.relay.clients.submit = submit
+    return requests[0]
