Remove what the policy keeps of messages that have ended

Same class as the incident: state for each name that a client makes up, with no common limit.

Found by reading every container of the policy for what removes its entries: - a check for expiry stayed until its message's deadline, up to 160 s, also for a message that was withdrawn or refused after the policy had it: 20,000 such messages left 20,000 checks; - a destination was kept for ever for each number that clients named before the first endpoint list; - a pause was kept for ever for each order key with an ambiguous failure (a known fault in postmortems.md); - messages whose notice discovery has not accepted were not counted as memory.

--- a/message_relay/policy/attempts.py
+++ b/message_relay/policy/attempts.py
@@ -115,7 +115,7 @@
     state.remove_if_unused(call.endpoint)
     ambiguous = event.result in (AttemptResult.TIMEOUT, AttemptResult.RESET, AttemptResult.CANCELLED)
     if ambiguous and message.order_key and state.settings.order_key_pause_us:
-        state.order_pauses[message.order_key] = state.now_us + state.settings.order_key_pause_us
+        state.pause_order_key(message.order_key)
     if message.closed or event.message_ended or message.response_started:
         state.close_message(message)
         return
--- a/message_relay/policy_state/state.py
+++ b/message_relay/policy_state/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 import math
 import random
 from dataclasses import dataclass
@@ -20,6 +21,8 @@
     TokenBucket,
 )
 
+MIN_PRUNED_EXPIRIES = 8192  # fewer checks are not worth a pass over all of them
+
 
 @dataclass(frozen=True, slots=True)
 class Limits:
@@ -93,9 +96,26 @@
         return destination
 
     def schedule_expiry(self, at_us: float, message: Message) -> None:
-        """Schedule a check whether the message has expired (``policy.final_answer.expire``)."""
+        """Schedule a check whether the message has expired (``policy.final_answer.expire``).
+
+        The checks of messages that have ended are removed when they are the majority.
+        """
+        if len(self.expiries) > 2 * len(self.messages) + MIN_PRUNED_EXPIRIES:
+            self.expiries = [expiry for expiry in self.expiries if expiry[1] in self.messages]
+            heapq.heapify(self.expiries)
         heapq.heappush(self.expiries, (at_us, message.id))
 
+    def pause_order_key(self, order_key: int) -> None:
+        """Hold back first attempts with the order key for a while, and remove the pauses that are over."""
+        self.order_pauses.pop(order_key, None)
+        self.order_pauses[order_key] = self.now_us + self.settings.order_key_pause_us
+        # All pauses have the same length, so the first ones end first.
+        for key in [key for key, until_us in self._first_pauses() if until_us <= self.now_us]:
+            del self.order_pauses[key]
+
+    def _first_pauses(self) -> list[tuple[int, int]]:
+        return list(itertools.islice(self.order_pauses.items(), 2))
+
     def change_calls_in_flight(self, call: Call, change: int) -> None:
         """Add ``change`` (1 or -1) to the numbers of calls in flight that include the call."""
         group = call.endpoint.group
@@ -143,6 +163,14 @@
         if not group.endpoints and len(groups) > 1 and group in groups:
             groups.remove(group)
 
+    def _remove_destination_if_unused(self, destination: Destination) -> None:
+        """Delete a destination that has no endpoints and no messages.
+
+        Before the first endpoint list, clients may submit messages for any number of destinations.
+        """
+        if not (destination.groups or destination.queue or destination.in_flight):
+            self.destinations.pop(destination.id, None)
+
     def add_message(self, message: Message) -> None:
         """Add an open message, and queue it for its destination."""
         self.messages[message.id] = message
@@ -171,6 +199,7 @@
         if message.in_flight:
             return
         self.messages.pop(message.id, None)
+        self._remove_destination_if_unused(message.destination)
         queue = self.order_queues.get(message.order_key, []) if message.order_key else []
         if message in queue:
             queue.remove(message)
--- a/message_relay/server/submission.py
+++ b/message_relay/server/submission.py
@@ -156,7 +156,7 @@
     @property
     def message_bytes(self) -> int:
         """Memory of the open messages and of the pending ones, in bytes."""
-        message_count = self._journal.open_count + len(self.pending)
+        message_count = len(self._journal.messages) + len(self.pending)
         return self._journal.open_bytes + self._pending_bytes + message_count * BYTES_PER_MESSAGE
 
     def refuse_discarded(self, reply: ReplyHandle) -> None:
--- a/tests/test_message_memory.py
+++ b/tests/test_message_memory.py
@@ -4,6 +4,8 @@
 
 from loopback import until, with_fleet
 
+from message_relay.server.submission import BYTES_PER_MESSAGE
+
 BODY = b"x" * 60_000
 
 
@@ -39,3 +41,14 @@
             index.add(identifier, 1.0, 1.0)
     await asyncio.sleep(1.1)  # until the next expiry
     assert await client.put("later") == "+OK"
+
+
+# Guards against final answers that discovery does not accept, which stay in memory and are not counted.
+@with_fleet
+async def test_messages_whose_final_answer_is_pending_count_as_memory(fleet):
+    await fleet.endpoint("a", "reset")
+    fleet.discovery.notice_status = [503] * 1000
+    client = await fleet.start_relay()
+    assert await client.put("u", message_class="unsafe") == "+OK"
+    await until(lambda: fleet.relay.journal.messages and not fleet.relay.journal.open_count)
+    assert fleet.relay.submissions.message_bytes > BYTES_PER_MESSAGE
