Split flow control and execution from the client connection

ReadControl decides when a connection reads, execution.py what a request does. The callback to the connection is released when it is closed, as the reference cycle would delay its memory.

No behaviour changes but one: a request whose content was discarded does not make its client a known one.

--- a/message_relay/server/resp/connection.py
+++ b/message_relay/server/resp/connection.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import socket
 from collections import deque
@@ -14,15 +13,10 @@
 
 from message_relay.server.resp import replies
 from message_relay.server.resp.close_reason import CloseReason
-from message_relay.server.resp.commands import (
-    InvalidRequestError,
-    PingRequest,
-    QuitRequest,
-    Request,
-    SubmitRequest,
-    parse_request,
-)
+from message_relay.server.resp.commands import InvalidRequestError
 from message_relay.server.resp.connection_owner import ConnectionOwner
+from message_relay.server.resp.execution import execute
+from message_relay.server.resp.read_control import ReadControl
 from message_relay.server.resp.reader import ProtocolError, RawRequest, RequestReader
 from message_relay.server.resp.reply_handle import ReplyHandle
 from message_relay.server.resp.socket_state import has_unread_data, peer_stopped_sending, was_reset
@@ -61,10 +55,7 @@
         # Time from which close_if_overdue() closes the connection. It is postponed when all replies are sent,
         # and when a client that has sent a valid request begins another.
         self.close_at_s = self.connected_at_s + REQUEST_TIMEOUT_S
-        self.read_pause: asyncio.TimerHandle | None = None  # ends the pause after an invalid request
-        self.reading_suspended = False  # while complete requests wait in the buffer
-        self.continuation: asyncio.Handle | None = None  # continues with the requests in the buffer
-        self.loop.add_reader(sock, self._on_readable)
+        self.reading = ReadControl(self.loop, sock, self._on_readable, owner.suspended_reading)
 
     def _on_readable(self) -> None:
         if not self._may_handle_request():
@@ -102,7 +93,7 @@
         all_handled = self._handle_some_requests()
         self._update_held_bytes()
         if all_handled:
-            self._resume_reading()
+            self.reading.resume()
         else:
             self._suspend_reading()
 
@@ -120,7 +111,7 @@
 
         Connections on which requests wait share an iteration, so that it stays short for the other clients.
         """
-        share = MAX_REQUESTS_PER_ITERATION // (len(self.owner.suspended_connections) + 1)
+        share = MAX_REQUESTS_PER_ITERATION // (len(self.owner.suspended_reading) + 1)
         return max(1, min(MAX_PIPELINED_REQUESTS, share))
 
     def _update_held_bytes(self) -> None:
@@ -158,58 +149,36 @@
 
     def _suspend_reading(self) -> None:
         """Suspend reading until the requests in the buffer are handled."""
-        if not self._accepts_requests:
-            return  # nothing is read, or the end of the pause after an invalid request continues
-        if not self.reading_suspended:
-            self._set_reading_suspended(True)
-            self.loop.remove_reader(self.sock)
-        self._schedule_continuation()
-
-    def _resume_reading(self) -> None:
-        if self.reading_suspended:
-            self._set_reading_suspended(False)
-            self.loop.add_reader(self.sock, self._on_readable)
-
-    def _set_reading_suspended(self, suspended: bool) -> None:
-        self.reading_suspended = suspended
-        if suspended:
-            self.owner.suspended_connections.add(self)
-        else:
-            self.owner.suspended_connections.discard(self)
+        if self._accepts_requests:  # otherwise nothing is read, or the end of a pause continues
+            self.reading.suspend()
+            self._schedule_continuation()
 
     def _schedule_continuation(self) -> None:
         """Continue with the requests in the buffer in the next iteration, if one may be handled by now."""
-        if self.continuation is None and self._may_handle_request():
-            self.continuation = self.loop.call_soon(self._continue)
+        if self._may_handle_request():
+            self.reading.continue_soon(self._continue)
 
     def _continue(self) -> None:
-        self.continuation = None
         if self._may_handle_request():
             self._handle_complete_requests()
 
     def _handle(self, request: RawRequest) -> None:
         reply = self._add_reply()
-        if request.discarded and not all(request.arguments[:-1]):
-            self.owner.refuse(reply)  # what it asked for is not known
-            return
         try:
-            self._execute(parse_request(request.arguments, discarded=request.discarded), reply)
+            keeps_open = self._execute(request, reply)
         except InvalidRequestError as error:
             self._reject(reply, error)
             return
-        self.has_sent_valid_request = True
-        if not self.pending_replies and not self.closing:
+        if not request.discarded:
+            self.has_sent_valid_request = True
+        if not keeps_open:
+            self._stop_reading(CloseReason.QUIT)
+            reply.send(replies.OK)
+        elif not self.pending_replies and not self.closing:
             self.owner.connection_idle(self)
 
-    def _execute(self, request: Request, reply: ReplyHandle) -> None:
-        match request:
-            case SubmitRequest():
-                self.owner.submit(request, reply)
-            case PingRequest(text):
-                reply.send(_reply_to_ping(text, self.owner.unready_reason()))
-            case QuitRequest():
-                self._stop_reading(CloseReason.QUIT)
-                reply.send(replies.OK)
+    def _execute(self, request: RawRequest, reply: ReplyHandle) -> bool:
+        return execute(request, reply, self.owner)
 
     def _reject(self, reply: ReplyHandle, error: InvalidRequestError) -> None:
         """Send an error reply and pause reading, or close the connection after MAX_INVALID_REQUESTS.
@@ -221,13 +190,11 @@
         if self.invalid_requests >= MAX_INVALID_REQUESTS:
             self._stop_reading(CloseReason.INVALID_REQUESTS)
         else:
-            self.loop.remove_reader(self.sock)
             pause_s = INVALID_REQUEST_PAUSE_S * 2 ** (self.invalid_requests - 1)
-            self.read_pause = self.loop.call_later(pause_s, self._end_read_pause)
+            self.reading.pause_for(pause_s, self._end_read_pause)
         reply.send(replies.error(str(error)))
 
     def _end_read_pause(self) -> None:
-        self.read_pause = None
         if not self.closing and not self.owner.paused:
             self.resume()
 
@@ -235,7 +202,7 @@
         self.closing = True
         self.close_reason = reason
         if not self.closed:
-            self.loop.remove_reader(self.sock)
+            self.reading.stop()
 
     def _add_reply(self) -> ReplyHandle:
         self.owner.connection_active(self)
@@ -256,7 +223,7 @@
             self.writer.write()
         if self.closed:
             return
-        if self.reading_suspended:
+        if self.reading.suspended:
             self._schedule_continuation()
         if self.pending_replies:
             return
@@ -322,16 +289,14 @@
 
     def pause(self) -> None:
         """Stop reading until resume()."""
-        self.loop.remove_reader(self.sock)
+        self.reading.stop()
 
     def resume(self) -> None:
         """Continue after pause(), except while closing or pausing after an invalid request.
 
         The requests in the buffer are handled first.
         """
-        if self._accepts_requests:
-            self._set_reading_suspended(True)
-            self._schedule_continuation()
+        self._suspend_reading()
 
     @property
     def between_requests(self) -> bool:
@@ -363,7 +328,7 @@
         """
         if self._accepts_requests and has_unread_data(self.sock):
             return False
-        if self.read_pause is not None and self.reader.mid_request:
+        if self.reading.pause_timer is not None and self.reader.mid_request:
             return False
         self.close(reason)
         return True
@@ -407,7 +372,7 @@
 
     @property
     def _accepts_requests(self) -> bool:
-        return not self.closing and self.read_pause is None
+        return not self.closing and self.reading.pause_timer is None
 
     def close(self, reason: CloseReason) -> None:
         """Close the connection at once and discard the pending replies."""
@@ -415,19 +380,9 @@
             return
         self.closed = self.closing = True
         self.close_reason = reason
-        self.loop.remove_reader(self.sock)
+        self.reading.close()
         self.writer.close()
         self.pending_replies.clear()
-        for timer in (self.read_pause, self.continuation):
-            if timer is not None:
-                timer.cancel()
         self.sock.close()
-        self._set_reading_suspended(False)
         self.owner.unfinished_requests.remove(self)
         self.owner.connection_closed(self)
-
-
-def _reply_to_ping(text: bytes | None, unready_reason: str) -> bytes:
-    if unready_reason:
-        return replies.error(unready_reason)
-    return replies.PONG if text is None else replies.bulk_string(text)
--- a/message_relay/server/resp/connection_owner.py
+++ b/message_relay/server/resp/connection_owner.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from message_relay.server.resp.commands import SubmitRequest
+from message_relay.server.resp.read_control import ReadControl
 from message_relay.server.resp.reply_handle import ReplyHandle
 from message_relay.server.resp.unfinished_requests import UnfinishedRequests
 
@@ -34,8 +35,8 @@
         """Memory that the unfinished requests of all connections hold."""
 
     @property
-    def suspended_connections(self) -> set[ClientConnection]:
-        """Connections on which requests wait to be handled."""
+    def suspended_reading(self) -> set[ReadControl]:
+        """Flow controls of the connections on which requests wait to be handled."""
 
     @property
     def refuse(self) -> Callable[[ReplyHandle], None]:
--- a/message_relay/server/resp/server.py
+++ b/message_relay/server/resp/server.py
@@ -16,6 +16,7 @@
 from message_relay.server.resp.commands import SubmitRequest
 from message_relay.server.resp.connection import ClientConnection
 from message_relay.server.resp.connection_table import ConnectionTable
+from message_relay.server.resp.read_control import ReadControl
 from message_relay.server.resp.reader import MAX_READ_BYTES
 from message_relay.server.resp.reply_handle import ReplyHandle
 from message_relay.server.resp.unfinished_requests import UnfinishedRequests
@@ -48,7 +49,7 @@
         self.submit = submit
         self.refuse = refuse  # refuses a request whose content was discarded
         self.receive_buffer = memoryview(bytearray(MAX_READ_BYTES))
-        self.suspended_connections: set[ClientConnection] = set()  # on which requests wait to be handled
+        self.suspended_reading: set[ReadControl] = set()  # of connections on which requests wait
         self.unfinished_requests = UnfinishedRequests(max_buffer_bytes)
         # Returns the text of the error reply to a PING, empty if the reply is PONG.
         self.unready_reason = unready_reason
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -190,10 +190,10 @@
     client.writer.write(b"".join(requests))
     assert (await client.line()).startswith("-ERR")  # the requests behind it wait for the end of a pause
     served = next(iter(fleet.relay.clients.connections))
-    assert served.read_pause is not None
+    assert served.reading.pause_timer is not None
     requester.channel.send_values(["take", VERSION])
     await requester.wait_for_frame("end")
-    await until(lambda: served.read_pause is None)
+    await until(lambda: served.reading.pause_timer is None)
     requester.channel.close()  # the old process serves on
     assert await replies(client, 2) == ["+OK"] * 2
 
@@ -205,5 +205,5 @@
     client.writer.write(b"".join([Client.command(b"NOPE"), *messages(2)]))
     assert (await client.line()).startswith("-ERR")
     served = next(iter(fleet.relay.clients.connections))
-    assert served.read_pause is not None and not fleet.relay.clients._evict_connection()
+    assert served.reading.pause_timer is not None and not fleet.relay.clients._evict_connection()
     assert await replies(client, 2) == ["+OK"] * 2
