Count the time that a request waits behind others against its lifetime

Cause: a message's time was counted from the moment its request was handled.

Change: a connection knows since when requests may have waited on it, in its buffer or in the kernel; up to the 0.4 s for which a client waits are taken off. A request on a connection without such a backlog is not affected.

--- a/message_relay/server/resp/connection.py
+++ b/message_relay/server/resp/connection.py
@@ -32,6 +32,7 @@
 IDLE_TIMEOUT_S = 3.0  # without an open request, for a connection that has sent a valid one
 # A connection without a valid request that is older than this is silent: it is closed first at the limit.
 SILENT_CONNECTION_AGE_S = 0.25
+CLIENT_WAIT_S = 0.4  # a client waits so long for its answer, then the request counts for nothing
 MAX_FINAL_READ_BYTES = 3 << 16  # read before the process exits; more than the longest request
 log = logging.getLogger(__name__)
 
@@ -55,6 +56,9 @@
         # Time from which close_if_overdue() closes the connection. It is postponed when all replies are sent,
         # and when a client that has sent a valid request begins another.
         self.close_at_s = self.connected_at_s + REQUEST_TIMEOUT_S
+        # Time since which requests may wait here, in the buffer or in the kernel; None if none does.
+        self._waiting_since_s: float | None = None
+        self._more_to_receive = False  # the kernel probably holds further data
         self.reading = ReadControl(self.loop, sock, self._on_readable, owner.suspended_reading)
 
     def _on_readable(self) -> None:
@@ -65,9 +69,9 @@
 
     def _receive(self) -> int:
         """Receive data into the reader; return the number of bytes, 0 if none arrived."""
-        data = self.owner.receive_buffer
+        data, wanted_bytes = self.owner.receive_buffer, self.reader.wanted_bytes
         try:
-            received_bytes = self.sock.recv_into(data, self.reader.wanted_bytes)
+            received_bytes = self.sock.recv_into(data, wanted_bytes)
         except (BlockingIOError, InterruptedError):
             return 0
         except OSError:
@@ -82,6 +86,9 @@
         if self.has_sent_valid_request and not self.reader.mid_request:
             self.close_at_s = self.loop.time() + REQUEST_TIMEOUT_S
         self.reader.feed(data[:received_bytes])
+        self._more_to_receive = received_bytes == wanted_bytes
+        if self._waiting_since_s is None:
+            self._waiting_since_s = self.loop.time()
         return received_bytes
 
     def _handle_complete_requests(self) -> None:
@@ -93,6 +100,8 @@
         all_handled = self._handle_some_requests()
         self._update_held_bytes()
         if all_handled:
+            if not self._more_to_receive:
+                self._waiting_since_s = None
             self.reading.resume()
         else:
             self._suspend_reading()
@@ -206,10 +215,16 @@
 
     def _add_reply(self) -> ReplyHandle:
         self.owner.connection_active(self)
-        reply = ReplyHandle(self)
+        reply = ReplyHandle(self, self._waited_s())
         self.pending_replies.append(reply)
         return reply
 
+    def _waited_s(self) -> float:
+        """Return the time for which the current request may have waited here, in seconds."""
+        if self._waiting_since_s is None:
+            return 0.0
+        return min(CLIENT_WAIT_S, self.loop.time() - self._waiting_since_s)
+
     def flush(self) -> None:
         """Send the available replies up to the first that is pending.
 
--- a/message_relay/server/resp/reply_handle.py
+++ b/message_relay/server/resp/reply_handle.py
@@ -25,10 +25,13 @@
 class ReplyHandle:
     """Handle through which the reply to one request is sent, in the order of the requests."""
 
-    __slots__ = ("connection", "text")
+    __slots__ = ("connection", "text", "waited_s")
 
-    def __init__(self, connection: ReplyingConnection) -> None:
+    def __init__(self, connection: ReplyingConnection, waited_s: float = 0.0) -> None:
         self.connection = connection
+        self.waited_s = (
+            waited_s  # time for which the request may have waited until it was handled, in seconds
+        )
         self.text = b""
 
     @property
--- a/message_relay/server/submission.py
+++ b/message_relay/server/submission.py
@@ -134,7 +134,8 @@
             self._metrics.record_rejected(message_class)
             self._refuse(request.message_id, reply, reason)
             return
-        self._enqueue(self._new_message(request, message_class, tenant), reply)
+        message = self._new_message(request, message_class, tenant, reply.waited_s)
+        self._enqueue(message, reply)
 
     def _refusal_reason(self, request: SubmitRequest) -> RefusalReason | None:
         """Return why no message is accepted now, whatever the policy decides; None if one may be."""
@@ -202,8 +203,10 @@
             )
         return class_number, tenant
 
-    def _new_message(self, request: SubmitRequest, message_class: int, tenant: int) -> AcceptedMessage:
-        deadline_s = time.time() + request.lifetime_ms / 1e3
+    def _new_message(
+        self, request: SubmitRequest, message_class: int, tenant: int, waited_s: float
+    ) -> AcceptedMessage:
+        deadline_s = time.time() + request.lifetime_ms / 1e3 - waited_s
         self.last_number += 1
         return AcceptedMessage(
             number=self.last_number,
--- a/tests/client_crowd.py
+++ b/tests/client_crowd.py
@@ -73,6 +73,7 @@
     request = Client.message(next(ids), body=BODY)
     for start in range(0, 60_000, 3000):
         writer.write(request[start : start + 3000])
+        await writer.drain()  # raises ConnectionError if the relay has closed the connection
         await asyncio.sleep(0.05)
     await reader.read()
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -4,6 +4,9 @@
 against ends of a connection or of the process that drop the requests that wait in the buffer.
 """
 
+import asyncio
+import time
+
 from hot_restart_pair import ScriptedRequester, with_process_pair
 from loopback import Client, bounded, until, with_fleet
 
@@ -207,3 +210,21 @@
     served = next(iter(fleet.relay.clients.connections))
     assert served.reading.pause_timer is not None and not fleet.relay.clients._evict_connection()
     assert await replies(client, 2) == ["+OK"] * 2
+
+
+# Guards against messages that end too late because the time that they waited unread is added to theirs.
+@with_fleet
+async def test_the_time_that_a_request_waits_behind_others_counts_against_its_lifetime(fleet):
+    await fleet.endpoint("a", "hang")
+    allow_open_messages(fleet)
+    client = await fleet.start_relay()
+    ticks = await send_while_ticks_are_held(fleet, client, messages(lifetime_ms=3000))
+    sent_s = time.time()
+    await asyncio.sleep(0.3)
+    ticks.release()
+    assert await replies(client) == ["+OK"] * COUNT
+    deadlines_s = [message.deadline_s for message in fleet.relay.journal.messages.values()]
+    assert len(deadlines_s) == COUNT and max(deadlines_s) < sent_s + 3.1
+    await asyncio.sleep(0.6)
+    assert await client.put("later", lifetime_ms=3000) == "+OK"  # it did not wait
+    assert fleet.relay.journal.messages[COUNT + 1].deadline_s > time.time() + 2.9
