Prune destinations when there are many, so that the exported state stays the same

Change: such destinations are removed when there are more than 1,024 besides those of the endpoints.

--- a/message_relay/policy_state/state.py
+++ b/message_relay/policy_state/state.py
@@ -21,6 +21,7 @@
     TokenBucket,
 )
 
+MIN_PRUNED_DESTINATIONS = 1024  # besides those of the listed endpoints
 MIN_PRUNED_EXPIRIES = 8192  # fewer checks are not worth a pass over all of them
 
 
@@ -92,9 +93,23 @@
         """Return the destination of that number; create it if it does not exist."""
         destination = self.destinations.get(number)
         if destination is None:
+            if len(self.destinations) >= MIN_PRUNED_DESTINATIONS + 2 * len(self.endpoints):
+                self._remove_unused_destinations()
             destination = self.destinations[number] = Destination(number)
         return destination
 
+    def _remove_unused_destinations(self) -> None:
+        """Delete the destinations that have no endpoints and no messages.
+
+        Before the first endpoint list, clients may submit messages for any number of destinations.
+        """
+        used = {message.destination.id for message in self.messages.values()}
+        self.destinations = {
+            number: destination
+            for number, destination in self.destinations.items()
+            if destination.groups or destination.in_flight or number in used
+        }
+
     def schedule_expiry(self, at_us: float, message: Message) -> None:
         """Schedule a check whether the message has expired (``policy.final_answer.expire``).
 
@@ -163,14 +178,6 @@
         if not group.endpoints and len(groups) > 1 and group in groups:
             groups.remove(group)
 
-    def _remove_destination_if_unused(self, destination: Destination) -> None:
-        """Delete a destination that has no endpoints and no messages.
-
-        Before the first endpoint list, clients may submit messages for any number of destinations.
-        """
-        if not (destination.groups or destination.queue or destination.in_flight):
-            self.destinations.pop(destination.id, None)
-
     def add_message(self, message: Message) -> None:
         """Add an open message, and queue it for its destination."""
         self.messages[message.id] = message
@@ -199,7 +206,6 @@
         if message.in_flight:
             return
         self.messages.pop(message.id, None)
-        self._remove_destination_if_unused(message.destination)
         queue = self.order_queues.get(message.order_key, []) if message.order_key else []
         if message in queue:
             queue.remove(message)
