Keep spans of time through steps of the wall clock while a process runs

Cause: deadlines, attempts, key windows and expiries are stored as wall clock times and were compared with the wall clock at each use.

Stored times have the form and the meaning that they had, so journals are readable both ways.

Tests that replaced the wall clock now replace this one.

--- a/message_relay/server/attempt_runner.py
+++ b/message_relay/server/attempt_runner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Callable
 
 from message_relay.model import (
@@ -167,7 +166,7 @@
         ):
             return False
         try:
-            self._journal.record_attempt(numbers, time.time(), attempts[0].zone)
+            self._journal.record_attempt(numbers, clock.now_s(), attempts[0].zone)
         except OSError as error:
             log.error("attempts not recorded in the journal: messages=%d error=%s", len(numbers), error)
             return False
@@ -184,7 +183,7 @@
         keyed = message_class.idempotency is Idempotency.KEYED
         applied_at_s = message.possibly_applied_at_s if keyed else 0.0
         window_s = (message_class.key_window_us - self._policy.state.deadline_margin_us) / 1e6
-        return bool(applied_at_s) and time.time() >= applied_at_s + window_s
+        return bool(applied_at_s) and clock.now_s() >= applied_at_s + window_s
 
     def attempt_ended(
         self, attempt: CallAttempt, endpoint: int, outcome: AttemptOutcome, latency_us: int
--- a/message_relay/server/final_answers.py
+++ b/message_relay/server/final_answers.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 
 from message_relay.model import FailMessage, MessageWithdrawn, RejectMessage
+from message_relay.server import clock
 from message_relay.server.discovery.final_notifier import FinalNotice, FinalNotifier
 from message_relay.server.event_queue import EventQueue
 from message_relay.server.journal import AcceptedMessage, FinalStatus, Journal
@@ -80,7 +80,7 @@
 
     def start_deadline_timer(self, message: AcceptedMessage) -> None:
         """Start the timer that ends the message OVERDUE_GRACE_S after its deadline."""
-        delay_s = max(0.0, message.deadline_s + OVERDUE_GRACE_S - time.time())
+        delay_s = max(0.0, message.deadline_s + OVERDUE_GRACE_S - clock.now_s())
         self.deadline_timers[message.number] = self._loop.call_later(
             delay_s, self._end_overdue_message, message.number
         )
--- a/message_relay/server/journal/index.py
+++ b/message_relay/server/journal/index.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterator
 
+from message_relay.server import clock
 from message_relay.server.journal.expiring_index import ExpiringIndex
 from message_relay.server.journal.records import (
     AcceptanceRevoked,
@@ -60,7 +60,7 @@
         The time is in wall clock seconds.
         """
         at_s = self.idempotency_keys.time_of(key)
-        return at_s if time.time() - at_s < self._key_lifetime_s else 0.0
+        return at_s if clock.now_s() - at_s < self._key_lifetime_s else 0.0
 
     def expire(self, now_s: float) -> None:
         """Remove the ids of completed messages and the idempotency keys that have expired."""
--- a/message_relay/server/journal/journal.py
+++ b/message_relay/server/journal/journal.py
@@ -21,10 +21,10 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Sequence
 from pathlib import Path
 
+from message_relay.server import clock
 from message_relay.server.journal.errors import JournalFullError
 from message_relay.server.journal.expiring_index import MEMORY_BYTES_PER_ENTRY, ExpiringIndex
 from message_relay.server.journal.file import BLOCK_BYTES, JournalFile, round_up_to_blocks
@@ -190,7 +190,7 @@
 
     def record_completed(self, numbers: Sequence[int]) -> None:
         """Record that the messages are completed: by a response, or because discovery accepted the answer."""
-        self._write(MessagesCompleted(numbers, time.time()))
+        self._write(MessagesCompleted(numbers, clock.now_s()))
 
     def record_final(self, number: int, status: FinalStatus, retry_after_ms: int) -> None:
         """Record the message's final answer; it is pending until discovery accepts it."""
@@ -229,8 +229,8 @@
 
     def expire(self) -> None:
         """Remove the ids and keys that have expired, at most once in EXPIRY_INTERVAL_S."""
-        now_s = time.time()
-        if abs(now_s - self._last_expiry_at_s) > EXPIRY_INTERVAL_S:  # the clock may have been set back
+        now_s = clock.now_s()
+        if now_s - self._last_expiry_at_s > EXPIRY_INTERVAL_S:
             self._last_expiry_at_s = now_s
             self._index.expire(now_s)
 
--- a/message_relay/server/submission.py
+++ b/message_relay/server/submission.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -206,7 +205,7 @@
     def _new_message(
         self, request: SubmitRequest, message_class: int, tenant: int, waited_s: float
     ) -> AcceptedMessage:
-        deadline_s = time.time() + request.lifetime_ms / 1e3 - waited_s
+        deadline_s = clock.now_s() + request.lifetime_ms / 1e3 - waited_s
         self.last_number += 1
         return AcceptedMessage(
             number=self.last_number,
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -64,7 +64,7 @@
     # counted twice, those of a few hundred messages a second did. Every message was then rejected, and each
     # attempt to accept one compacted the journal.
     now = [1000.0]
-    monkeypatch.setattr("time.time", lambda: now[0])
+    monkeypatch.setattr("message_relay.server.clock.now_s", lambda: now[0])
     journal = Journal(tmp_path, 1_000_000, key_window_s=12.0).acquire()
     compactions = []
     compact = journal.compact
@@ -96,7 +96,7 @@
     restart, tmp_path, monkeypatch
 ):
     now = [1000.0]
-    monkeypatch.setattr("time.time", lambda: now[0])
+    monkeypatch.setattr("message_relay.server.clock.now_s", lambda: now[0])
     journal = Journal(tmp_path, 60_000).acquire()
 
     def accept(number):
--- a/tests/test_key_window.py
+++ b/tests/test_key_window.py
@@ -92,9 +92,9 @@
             relay.journal.messages[2] = AcceptedMessage(
                 2, "x", KEYED, 0, 7, "y", now + 9, False, b"x", earlier_attempt_at_s=now
             )
-            monkeypatch.setattr(time, "time", lambda: now + WINDOW_S / 2)
+            monkeypatch.setattr("message_relay.server.clock.now_s", lambda: now + WINDOW_S / 2)
             assert not relay.attempts._key_window_expired(2)
-            monkeypatch.setattr(time, "time", lambda: now + WINDOW_S)
+            monkeypatch.setattr("message_relay.server.clock.now_s", lambda: now + WINDOW_S)
             assert relay.attempts._key_window_expired(2)
 
     asyncio.run(run())
--- a/tests/test_stored_journal.py
+++ b/tests/test_stored_journal.py
@@ -5,7 +5,6 @@
 """
 
 import pathlib
-import time
 
 import pytest
 
@@ -19,7 +18,7 @@
 def clock(monkeypatch):
     """Replace the wall clock by a list whose only item is the time in seconds."""
     now = [START_S]
-    monkeypatch.setattr(time, "time", lambda: now[0])
+    monkeypatch.setattr("message_relay.server.clock.now_s", lambda: now[0])
     return now
 
 
