--- a/message_relay/server/journal/file.py
+++ b/message_relay/server/journal/file.py
@@ -45,6 +45,7 @@
         self._replacement_path = folder / REPLACEMENT_NAME
         self._lock_path = folder / LOCK_NAME
         self._descriptor = self._lock_descriptor = NOT_OPEN
+        self._incomplete_at_end = False  # the file may end with a part of a record
         self._released_identity = (-1, -1)  # inode and size when this process released the file
 
     def acquire(self, on_record: Callable[[StoredValues], None]) -> None:
@@ -55,7 +56,8 @@
         accessible.
         """
         self._acquire_lock()
-        self._replacement_path.unlink(missing_ok=True)
+        with contextlib.suppress(OSError):  # it is created anew, and emptied, by the next compaction
+            self._replacement_path.unlink()
         self._descriptor = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, FILE_MODE)
         size_bytes = os.fstat(self._descriptor).st_size
         self.size_bytes = 0
@@ -66,7 +68,11 @@
         if self.size_bytes < size_bytes:
             removed_bytes = size_bytes - self.size_bytes
             log.warning("journal: incomplete record at the end removed, bytes=%d", removed_bytes)
-            os.ftruncate(self._descriptor, self.size_bytes)
+            self._incomplete_at_end = True
+            try:
+                self._truncate()
+            except OSError as error:  # before the first record is appended, it is tried again
+                log.error("journal: incomplete record not removed, error=%s", error)
 
     def reacquire(self) -> None:
         """Lock and open the file again if it has not changed since this process released it.
@@ -100,18 +106,28 @@
     def append(self, data: bytes) -> None:
         """Append data; if that fails, truncate the file to its previous size.
 
-        Raises `JournalFullError` if only a part could be written, `OSError` if the write failed.
+        Raises `JournalFullError` if only a part could be written, `OSError` if the write failed, or if the
+        file could not be truncated after an earlier failure.
         """
+        if self._incomplete_at_end:
+            self._truncate()
+        self._incomplete_at_end = True
+        written = 0
         try:
             written = os.write(self._descriptor, data)
-        except OSError:
-            os.ftruncate(self._descriptor, self.size_bytes)
-            raise
-        if written != len(data):  # decoding stops at an incomplete record: later ones would never be read
-            os.ftruncate(self._descriptor, self.size_bytes)
+        finally:
+            if written != len(data):
+                self._truncate()
+        if written != len(data):
             raise JournalFullError(f"no space left on the disk: wrote {written} of {len(data)} bytes")
+        self._incomplete_at_end = False
         self.size_bytes += written
 
+    def _truncate(self) -> None:
+        """Remove what was appended incompletely: decoding stops there, and later records would be lost."""
+        os.ftruncate(self._descriptor, self.size_bytes)
+        self._incomplete_at_end = False
+
     def replace(self, frames: Iterable[bytes], max_bytes: int) -> None:
         """Replace the file atomically by a new one with these frames.
 
@@ -126,10 +142,12 @@
         except OSError as error:
             log.error("journal: compaction failed, error=%s", error)
             os.close(replacement)
-            self._replacement_path.unlink(missing_ok=True)
+            with contextlib.suppress(OSError):
+                self._replacement_path.unlink()
             return
         os.close(self._descriptor)
         self._descriptor = replacement
+        self._incomplete_at_end = False
         self.size_bytes = size_bytes
 
     def _acquire_lock(self) -> None:
