End a delivered message although its record cannot be written

Cause: a record that is not written is not applied, also that of completed messages.

Change: completed messages are completed in memory all the same. After a restart without the record they are open as before, with an attempt that was possibly applied.

Evidence: with a limit of three, the fourth message of the test was refused before the change; six are accepted and delivered after it, and the id of the first is still known.

--- a/message_relay/server/journal/journal.py
+++ b/message_relay/server/journal/journal.py
@@ -57,7 +57,8 @@
 
     Only the owner, the process that holds the journal lock, writes to the file. Methods that write a record
     raise `JournalFullError` if the disk limit is reached or the disk is full, `JournalError` if this process
-    is not the owner, and `OSError` if the write failed. The record is then neither stored nor applied.
+    is not the owner, and `OSError` if the write failed. The record is then neither stored nor applied, except
+    for that of completed messages, which is applied.
     """
 
     def __init__(
@@ -189,8 +190,17 @@
         self._write(AttemptNotApplied(number))
 
     def record_completed(self, numbers: Sequence[int]) -> None:
-        """Record that the messages are completed: by a response, or because discovery accepted the answer."""
-        self._write(MessagesCompleted(numbers, clock.now_s()))
+        """Record that the messages are completed: by a response, or because discovery accepted the answer.
+
+        If the record cannot be written they are completed in memory all the same, as nothing else ends them;
+        a restart finds them open.
+        """
+        record = MessagesCompleted(numbers, clock.now_s())
+        try:
+            self._write(record)
+        except OSError:
+            self._index.apply(record)
+            raise
 
     def record_final(self, number: int, status: FinalStatus, retry_after_ms: int) -> None:
         """Record the message's final answer; it is pending until discovery accepts it."""
--- a/tests/test_disk_faults.py
+++ b/tests/test_disk_faults.py
@@ -1,10 +1,12 @@
 """Writes to the journal fail for a while: what was accepted is still owed, and what has ended is not held."""
 
+import asyncio
 import errno
 import os
 import time
 
 import pytest
+from loopback import answer, until, with_fleet
 
 from message_relay.server.journal import AcceptedMessage, Journal
 
@@ -62,3 +64,33 @@
     restored = Journal(tmp_path, 100_000).acquire()
     assert list(restored.messages) == [1, 3]
     restored.close()
+
+
+# Guards against delivered messages that stay open and use up the limit when nothing can be written.
+@with_fleet
+async def test_a_delivered_message_is_ended_although_the_journal_cannot_record_it(fleet):
+    fleet.raw_settings["policyLimits"]["maxOpen"] = 3
+    endpoint = await fleet.endpoint("a", *[answer(200)] * 8)
+    client = await fleet.start_relay()
+    journal = fleet.relay.journal
+    for number in range(6):
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(journal, "record_completed", without_space(journal))
+            assert await client.put(f"m{number}", message_class="unsafe") == "+OK"
+            await endpoint.call()
+            await until(lambda: not journal.open_count)
+    assert await client.put("m0", message_class="unsafe") == "+OK"  # its id is known
+    await asyncio.sleep(0.05)
+    assert endpoint.calls.empty()
+
+
+def without_space(journal):
+    """Return the journal's method that records completed messages, with a disk that is full meanwhile."""
+    record_completed = journal.record_completed
+
+    def record(numbers):
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(os, "write", failing(errno.ENOSPC))
+            record_completed(numbers)
+
+    return record
