Split receiving from the client connection, and list the crowds' behaviours once

RequestReceiver reads the socket and knows how long requests have waited; the connection decides what follows from it. The list of misbehaviours stood in the soak and in the test of the memory limit.

--- a/message_relay/server/resp/connection.py
+++ b/message_relay/server/resp/connection.py
@@ -16,7 +16,8 @@
 from message_relay.server.resp.connection_owner import ConnectionOwner
 from message_relay.server.resp.execution import execute
 from message_relay.server.resp.read_control import ReadControl
-from message_relay.server.resp.reader import ProtocolError, RawRequest, RequestReader
+from message_relay.server.resp.reader import ProtocolError, RawRequest
+from message_relay.server.resp.receiver import Received, RequestReceiver
 from message_relay.server.resp.reply_handle import ReplyHandle
 from message_relay.server.resp.socket_state import has_unread_data, peer_stopped_sending, was_reset
 from message_relay.server.resp.socket_writer import MAX_UNSENT_BYTES, SocketWriter
@@ -31,8 +32,9 @@
 IDLE_TIMEOUT_S = 3.0  # without an open request, for a connection that has sent a valid one
 # A connection without a valid request that is older than this is silent: it is closed first at the limit.
 SILENT_CONNECTION_AGE_S = 0.25
-CLIENT_WAIT_S = 0.4  # a client waits so long for its answer, then the request counts for nothing
-MAX_FINAL_READ_BYTES = 3 << 16  # read before the process exits; more than the longest request
+# Reads of each connection before the process exits, of 4 KiB or the rest of a long argument: more than the
+# longest request.
+MAX_FINAL_READS = 48
 log = logging.getLogger(__name__)
 
 
@@ -43,7 +45,8 @@
         self.owner = owner
         self.sock = sock
         self.loop = owner.loop
-        self.reader = RequestReader()
+        self.receiver = RequestReceiver(self.loop, sock)
+        self.reader = self.receiver.reader
         self.writer = SocketWriter(self.loop, sock, on_writable=self.flush, on_failure=self._writing_failed)
         self.pending_replies: list[ReplyHandle] = []  # few; an empty deque is ten times as large
         self.closing = False  # nothing more is read; pending replies are still sent
@@ -55,9 +58,6 @@
         # Time from which close_if_overdue() closes the connection. It is postponed when all replies are sent,
         # and when a client that has sent a valid request begins another.
         self.close_at_s = self.connected_at_s + REQUEST_TIMEOUT_S
-        # Time since which requests may wait here, in the buffer or in the kernel; None if none does.
-        self._waiting_since_s: float | None = None
-        self._more_to_receive = False  # the kernel probably holds further data
         self.reading = ReadControl(self.loop, sock, self._on_readable, owner.suspended_reading)
 
     def _on_readable(self) -> None:
@@ -66,29 +66,18 @@
         elif self._receive():
             self._handle_complete_requests()
 
-    def _receive(self) -> int:
-        """Receive data into the reader; return the number of bytes, 0 if none arrived."""
-        data, wanted_bytes = self.owner.receive_buffer, self.reader.wanted_bytes
-        try:
-            received_bytes = self.sock.recv_into(data, wanted_bytes)
-        except (BlockingIOError, InterruptedError):
-            return 0
-        except OSError:
+    def _receive(self) -> bool:
+        """Receive data into the reader; return whether any arrived."""
+        mid_request = self.reader.mid_request
+        received = self.receiver.receive(self.owner.receive_buffer)
+        if received is Received.FAILURE:
             self.close(CloseReason.CONNECTION_ERROR)
-            return 0
-        if not received_bytes:  # the client has shut down its sending side; it still gets the pending replies
+        elif received is Received.END:  # the client still gets the pending replies
             self._stop_reading(CloseReason.CLIENT_CLOSED)
             self.flush()
-            return 0
-        if not self.check_connected():
-            return 0  # nobody would receive the replies to what was sent before the reset
-        if self.has_sent_valid_request and not self.reader.mid_request:
+        elif received is Received.DATA and self.has_sent_valid_request and not mid_request:
             self.close_at_s = self.loop.time() + REQUEST_TIMEOUT_S
-        self.reader.feed(data[:received_bytes])
-        self._more_to_receive = received_bytes == wanted_bytes
-        if self._waiting_since_s is None:
-            self._waiting_since_s = self.loop.time()
-        return received_bytes
+        return received is Received.DATA
 
     def _handle_complete_requests(self) -> None:
         """Handle the complete requests in the buffer, but no more than may be handled now.
@@ -99,8 +88,7 @@
         all_handled = self._handle_some_requests()
         self._update_held_bytes()
         if all_handled:
-            if not self._more_to_receive:
-                self._waiting_since_s = None
+            self.receiver.all_handled()
             self.reading.resume()
         else:
             self._suspend_reading()
@@ -214,16 +202,10 @@
 
     def _add_reply(self) -> ReplyHandle:
         self.owner.connection_active(self)
-        reply = ReplyHandle(self, self._waited_s())
+        reply = ReplyHandle(self, self.receiver.waited_s())
         self.pending_replies.append(reply)
         return reply
 
-    def _waited_s(self) -> float:
-        """Return the time for which the current request may have waited here, in seconds."""
-        if self._waiting_since_s is None:
-            return 0.0
-        return min(CLIENT_WAIT_S, self.loop.time() - self._waiting_since_s)
-
     def flush(self) -> None:
         """Send the available replies up to the first that is pending.
 
@@ -371,12 +353,9 @@
         Those that wait in the buffer are handled too, however many are open.
         """
         self._handle_all_requests()
-        remaining_bytes = MAX_FINAL_READ_BYTES
-        while remaining_bytes > 0 and self._accepts_requests and has_unread_data(self.sock):
-            received_bytes = self._receive()
-            if not received_bytes:
+        for _ in range(MAX_FINAL_READS):
+            if not self._accepts_requests or not has_unread_data(self.sock) or not self._receive():
                 return
-            remaining_bytes -= received_bytes
             self._handle_all_requests()
 
     def _handle_all_requests(self) -> None:
--- a/tests/client_crowd.py
+++ b/tests/client_crowd.py
@@ -102,6 +102,16 @@
     await asyncio.sleep(2)
 
 
+BEHAVIOURS = [
+    stop_half_way,
+    write_slowly,
+    send_large_messages,
+    send_many_short_fields,
+    request_long_echoes_unread,
+    pipeline_small_messages_unread,
+]
+
+
 async def put_beside(port, process, duration_s):
     """Submit messages on new connections for a time; return the answers and the peak memory in bytes."""
     loop = asyncio.get_running_loop()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -28,8 +28,7 @@
 import tempfile
 import time
 
-import client_crowd
-from client_crowd import BYTES_PER_MIB, LEAST_MEMORY_MB, MOST_DESCRIPTORS, crowd, resident_bytes
+from client_crowd import BEHAVIOURS, BYTES_PER_MIB, LEAST_MEMORY_MB, MOST_DESCRIPTORS, crowd, resident_bytes
 from loopback import ROOT, Client, Discovery, ScriptedServer, answer, free_port, read_request
 from wire_settings import settings
 
@@ -42,14 +41,6 @@
 TCP_CLOSE_WAIT = 8  # the state of a connection that the other side has ended, and not reset
 ANSWER_TIMEOUT_S = 0.4
 KILL_EFFECT_S = 0.5  # until clients have seen that SIGKILL ended their connections
-BEHAVIOURS = [
-    client_crowd.stop_half_way,
-    client_crowd.write_slowly,
-    client_crowd.send_large_messages,
-    client_crowd.send_many_short_fields,
-    client_crowd.request_long_echoes_unread,
-    client_crowd.pipeline_small_messages_unread,
-]
 
 
 class History:
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -1,20 +1,11 @@
 """A relay with the least memory that operators give it stays below that limit, whatever its clients do."""
 
-import client_crowd
 import pytest
-from client_crowd import BYTES_PER_MIB, LEAST_MEMORY_MB, MOST_DESCRIPTORS, crowd, put_beside
+from client_crowd import BEHAVIOURS, BYTES_PER_MIB, LEAST_MEMORY_MB, MOST_DESCRIPTORS, crowd, put_beside
 from loopback import with_fleet
 
 CROWD_SIZE = 420  # below the number of connections that the relay keeps open, and the descriptors of a test
 DURATION_S = 4.0
-BEHAVIOURS = [
-    client_crowd.stop_half_way,
-    client_crowd.write_slowly,
-    client_crowd.send_large_messages,
-    client_crowd.send_many_short_fields,
-    client_crowd.request_long_echoes_unread,
-    client_crowd.pipeline_small_messages_unread,
-]
 
 
 # Guards against requests, replies and buffers that add up, over all connections, to more than the memory.
