Let clients of the soak come again under the same id

The clients of the soak now submit ids again that had no answer: after they left, after a late answer, or after their connection ended; an unsafe one may run once.

What the socket state cannot tell (an error of the query itself, an invalid descriptor) counts as connected.

--- a/message_relay/server/resp/socket_state.py
+++ b/message_relay/server/resp/socket_state.py
@@ -5,6 +5,8 @@
 import select
 import socket
 
+PEER_STOPPED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
 
 def has_unread_data(sock: socket.socket) -> bool:
     """Return whether the kernel holds data from the peer that has not been read."""
@@ -22,7 +24,7 @@
     try:
         return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
     except OSError:
-        return True
+        return False  # not known
 
 
 def peer_stopped_sending(sock: socket.socket) -> bool:
@@ -33,6 +35,6 @@
     poll = select.poll()
     try:
         poll.register(sock, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return any(event & PEER_STOPPED_EVENTS for _, event in poll.poll(0))
     except OSError:
         return False
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -105,8 +105,9 @@
         self.seed, self.duration_s, self.folder = seed, duration_s, folder
         self.signal_random, self.crowd_random = self.random_stream("signals"), self.random_stream("crowds")
         self.history, self.violations = History(), []
-        self.deadline_s = {}  # of accepted messages, on the monotonic clock
+        self.submitted_deadline_s, self.accepted = {}, {}  # deadlines on the monotonic clock
         self.ends_s, self.executions, self.refused = {}, collections.Counter(), set()
+        self.classes, self.unanswered = {}, []  # the class of each message, and ids without an answer yet
         self.unsafe, self.process, self.serving_since_s = set(), None, 0.0
         self.gaps = []  # from each signal until the next process was ready
         self.port, self.peak_bytes, self.counts = free_port(), 0, collections.Counter()
@@ -275,6 +276,9 @@
                     count = stream.choice([1, 1, 1, 4, 40])
                     ids = [f"{name}-{number + offset}" for offset in range(count)]
                     number += count
+                    if self.unanswered and stream.random() < 0.5:  # a client comes again under the same id
+                        self.counts["same id"] += 1
+                        ids[0] = self.unanswered.pop(stream.randrange(len(self.unanswered)))
                     if not await self.submit(reader, writer, ids, stream):
                         break
                     await asyncio.sleep(stream.uniform(0.0, 0.1))
@@ -282,14 +286,17 @@
 
     async def submit(self, reader, writer, ids, stream):
         """Submit the messages at once, and wait for the answers; return whether the connection is usable."""
-        lifetime_s = stream.uniform(0.3, 6.0)
-        requests = [self.request(message_id, lifetime_s, stream) for message_id in ids]
-        sent_s = time.monotonic()
+        sent_s, lifetime_s = time.monotonic(), stream.uniform(0.3, 6.0)
+        for message_id in ids:  # one that comes again keeps its deadline
+            self.submitted_deadline_s.setdefault(message_id, sent_s + lifetime_s)
+        requests = [self.request(message_id, sent_s, stream) for message_id in ids]
         writer.write(b"".join(requests))
         if stream.random() < 0.05:
             self.counts["left"] += 1
+            self.unanswered += ids[:3]
             return False  # leave without waiting for an answer
         for message_id in ids:
+            self.unanswered.append(message_id)
             try:
                 async with asyncio.timeout(sent_s + ANSWER_TIMEOUT_S - time.monotonic()):
                     line = await reader.readuntil(b"\r\n")
@@ -301,7 +308,8 @@
                 if await self.all_was_read(writer) and time.monotonic() > self.killed_at_s + KILL_EFFECT_S:
                     self.violate(message_id, "read, and its connection ended without an answer")
                 return False
-            self.answered(message_id, line.strip(), sent_s + lifetime_s)
+            self.unanswered.remove(message_id)
+            self.answered(message_id, line.strip())
         return True
 
     @staticmethod
@@ -311,19 +319,20 @@
         sock = writer.get_extra_info("socket")
         return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 8)[0] == TCP_CLOSE_WAIT
 
-    def request(self, message_id, lifetime_s, stream):
-        message_class = stream.choice(["safe", "unsafe", "unsafe"])
+    def request(self, message_id, sent_s, stream):
+        lifetime_s = max(0.0, self.submitted_deadline_s[message_id] - sent_s)
+        message_class = self.classes.setdefault(message_id, stream.choice(["safe", "unsafe", "unsafe"]))
         if message_class == "unsafe":
             self.unsafe.add(message_id)
         body = b"x" * stream.choice([20, 200, 2000])
         self.history.add(message_id, f"submitted as {message_class} for {lifetime_s:.2f} s")
         return Client.message(message_id, message_class, 7, int(lifetime_s * 1000), body)
 
-    def answered(self, message_id, line, deadline_s):
+    def answered(self, message_id, line):
         self.history.add(message_id, f"answered {line.decode()}")
         self.counts[line.split()[0].decode()] += 1
         if line == b"+OK":
-            self.deadline_s[message_id] = deadline_s
+            self.accepted[message_id] = self.submitted_deadline_s[message_id]
         elif line.startswith(b"-BUSY"):
             self.refused.add(message_id)
             if self.executions[message_id]:
@@ -376,7 +385,7 @@
             self.violate("process", f"resident memory reached {self.peak_bytes} bytes")
 
     def check_ends(self):
-        for message_id, deadline_s in self.deadline_s.items():
+        for message_id, deadline_s in self.accepted.items():
             due_s = deadline_s + NOTICE_SLACK_S
             for signalled_s, ready_s in self.gaps:
                 if signalled_s <= due_s <= ready_s + RESTART_SLACK_S:
