Take off the time that a request waited only if it could not be read before

Change: what is received more than 0.2 s after the last read, with reading not suspended meanwhile, was not there before: the event loop would have read it. The test has such a read and a request 0.3 s later: 0.3 s were taken off before, none now.

--- a/message_relay/server/resp/connection.py
+++ b/message_relay/server/resp/connection.py
@@ -146,6 +146,7 @@
     def _suspend_reading(self) -> None:
         """Suspend reading until the requests in the buffer are handled."""
         if self._accepts_requests:  # otherwise nothing is read, or the end of a pause continues
+            self.receiver.reading_suspended()
             self.reading.suspend()
             self._schedule_continuation()
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -5,13 +5,16 @@
 """
 
 import asyncio
+import socket
 import time
 
+import pytest
 from hot_restart_pair import ScriptedRequester, with_process_pair
 from loopback import Client, bounded, until, with_fleet
 
 from message_relay.server.hot_restart.snapshot import VERSION
 from message_relay.server.resp import connection, reader
+from message_relay.server.resp.receiver import Received, RequestReceiver
 
 COUNT = connection.MAX_PIPELINED_REQUESTS + 8
 
@@ -228,3 +231,35 @@
     await asyncio.sleep(0.6)
     assert await client.put("later", lifetime_ms=3000) == "+OK"  # it did not wait
     assert fleet.relay.journal.messages[COUNT + 1].deadline_s > time.time() + 2.9
+
+
+class ReceiverClock:
+    """Stands in for the event loop of a receiver."""
+
+    def __init__(self):
+        self.now_s = 100.0
+
+    def time(self):
+        return self.now_s
+
+
+# Guards against a request that loses time although it came on its own, after a read of the full size.
+@pytest.mark.parametrize("suspended", [False, True])
+def test_only_requests_that_could_not_be_read_before_have_waited(suspended):
+    clock, (sender, sock) = ReceiverClock(), socket.socketpair()
+    receiver, buffer = RequestReceiver(clock, sock), memoryview(bytearray(reader.MAX_READ_BYTES))
+    ping = Client.command(b"PING", b"x" * 30)
+    data = (ping * 200)[: reader.MIN_READ_BYTES]
+    sender.sendall(data)
+    assert receiver.receive(buffer) is Received.DATA
+    while receiver.reader.next_request():
+        pass
+    receiver.all_handled()
+    if suspended:
+        receiver.reading_suspended()
+    clock.now_s += 0.3
+    sender.sendall(ping)
+    assert receiver.receive(buffer) is Received.DATA
+    assert receiver.waited_s() == (pytest.approx(0.3) if suspended else 0.0)
+    for end in (sender, sock):
+        end.close()
