--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -9,6 +9,7 @@
 from loopback import Client, bounded, until, with_fleet
 
 from message_relay.server.journal import Journal
+from message_relay.server.resp import connection
 from message_relay.server.resp.reply_handle import ReplyHandle
 
 COUNT = 100
@@ -60,6 +61,21 @@
     run(tmp_path)
 
 
+# Guards against a request of a client that has left, accepted because its reset comes a moment later.
+@with_fleet
+async def test_a_message_is_not_sent_on_when_the_reset_comes_late(fleet):
+    await fleet.endpoint("a")
+    fleet.discovery.targets["a"]["state"] = "terminating"  # the message waits
+    client = await fleet.start_relay()  # kept, so that its connection is not the one that is closed
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(connection, "was_reset", lambda sock: False)
+        send_and_leave(fleet.relay_port(), Client.message("m", message_class="unsafe"), reset=False)
+        await until(lambda: fleet.relay.clients.close_counts)
+    client.writer.transport.abort()
+    await asyncio.sleep(0.2)
+    assert not fleet.relay.journal.messages
+
+
 # Guards against an id that is forgotten after its message's own short deadline and then takes effect again.
 @with_fleet
 async def test_an_id_that_comes_again_while_its_class_allows_it_is_not_sent_again(fleet):
