Review case 7: a charge whose answer never ends is sent twice if the relay is held up

Cause: body_received closes the connection and leaves the outcome to the next iteration; a time-out that is due in the same one takes the request for unwritten and ends the attempt as CONNECT_FAILED. Change: the case; nothing outside review/.

--- /dev/null
+++ b/review/7/case.py
@@ -0,0 +1,106 @@
+"""Answers that never end, and a relay that is held up for 0.14 s: an unrepeatable message runs twice."""
+
+import asyncio
+import random
+import signal
+import sys
+
+sys.path.insert(0, __file__.rsplit("/", 2)[0] + "/lib2")
+import stand
+
+LENGTH_S = 60.0
+DESTINATIONS = 4
+CHARGE_EVERY_S = 0.2  # of all destinations together
+STATUS_EVERY_S = 0.025
+HELD_UP_S = 0.14  # the page's limit is 0.15 s
+PIECE = b"x" * 16_384
+
+
+async def play(folder, record):
+    chance = random.Random(8)
+
+    async def behaviour(endpoint, message_id, headers, reader, writer):
+        if message_id.startswith("status") or message_id in endpoint.spoilt or not stand.TROUBLE:
+            return await stand.answer_200(endpoint, message_id, headers, reader, writer)
+        # A late answer, which the caller cannot read: it never ends. The call may have run.
+        endpoint.spoilt.add(message_id)
+        wait_s = int(headers["x-timeout-ms"]) / 1000
+        await asyncio.sleep(max(0.0, wait_s - chance.uniform(0.1, 0.2)))
+        record(f"endpoint {endpoint.uid}: begins an answer that never ends, message={message_id}")
+        writer.write(b"HTTP/1.1 500 x\r\nContent-Length: 1000000000\r\n\r\n")
+        ended = asyncio.ensure_future(stand.until_gone(reader))
+        while not ended.done():
+            writer.write(PIECE)
+            await asyncio.wait({ended}, timeout=0.03)
+        return False
+
+    discovery = await stand.Discovery(record).start()
+    endpoints = []
+    for number in range(DESTINATIONS):
+        endpoint = await stand.Endpoint(f"s-{number}", record, behaviour).start()
+        endpoint.spoilt = set()
+        endpoints.append(endpoint)
+        discovery.add(f"s-{number}", endpoint.port, number + 1)
+    relay = stand.Relay(folder, record, discovery, stand.settings(familyInfo__maxCalls=32))
+    accepted, tasks, clients = {}, [], []
+
+    async def hand_in(message_id, message_class, dest, lifetime_ms):
+        client = clients.pop() if clients else None
+        if client is None:
+            client = await stand.Client(record, relay.listen_port).open()
+        answer, sent = await client.put(message_id, message_class, dest, lifetime_ms)
+        if answer == "+OK":
+            accepted[message_id] = sent + lifetime_ms / 1000
+        if answer:
+            clients.append(client)
+        else:
+            client.close()
+
+    async def send_all(name, every_s, lifetime_ms):
+        number = 0
+        while record.now() - start < LENGTH_S:
+            dest = number % DESTINATIONS + 1
+            tasks.append(asyncio.create_task(hand_in(f"{name}-{number}", name, dest, lifetime_ms)))
+            number += 1
+            await asyncio.sleep(every_s)
+
+    async def hold_up(process):
+        while record.now() - start < LENGTH_S:
+            await asyncio.sleep(chance.uniform(0.05, 0.4))
+            process.send_signal(signal.SIGSTOP)
+            try:
+                await asyncio.sleep(HELD_UP_S)
+            finally:
+                process.send_signal(signal.SIGCONT)
+
+    try:
+        process = await relay.start()
+        start = record.now()
+        work = [send_all("status", STATUS_EVERY_S, 6000), send_all("charge", CHARGE_EVERY_S, 16000)]
+        if stand.TROUBLE:
+            work.append(hold_up(process))
+        await asyncio.gather(*work)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(8.0)
+        runs = {}
+        for endpoint in endpoints:
+            for run in endpoint.runs:
+                if run[0].startswith("charge"):
+                    runs.setdefault(run[0], []).append(run[1])
+        if len(runs) < 20:
+            raise stand.CannotRunError(f"only {len(runs)} messages were sent")
+        twice = {message_id: times for message_id, times in runs.items() if len(times) > 1}
+        record(f"check: {len(runs)} messages that may not be repeated were sent, {len(twice)} of them again")
+        for message_id, times in twice.items():
+            record(f"check: message={message_id} was sent at {', '.join(f'{at:.3f}' for at in times)}")
+        return stand.BROKEN if twice else stand.HELD
+    finally:
+        for task in tasks:
+            task.cancel()
+        await relay.stop()
+        for server in (discovery, *endpoints):
+            await server.stop()
+
+
+if __name__ == "__main__":
+    stand.main(__file__, play)
