--- a/message_relay/server/journal/expiring_index.py
+++ b/message_relay/server/journal/expiring_index.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import NamedTuple
 
 STORED_BYTES_PER_ENTRY = 24  # upper bound in a compacted file, without the identifier itself
@@ -20,15 +21,17 @@
     """Stores a time and a zone for each identifier until the identifier expires.
 
     Identifiers are grouped by their expiry time into buckets of one second, so that `expire` examines only
-    the buckets that are due.
+    the buckets that are due. The space of an identifier can be reserved before it has an entry.
     """
 
-    __slots__ = ("_buckets", "entries", "stored_bytes")
+    __slots__ = ("_buckets", "_reservations", "entries", "stored_bytes")
 
     def __init__(self) -> None:
         self.entries: dict[str, ExpiringEntry] = {}
-        self.stored_bytes = 0  # upper bound of the entries' size in a compacted file
+        # Upper bound of the size in a compacted file: of the entries, and of the reserved identifiers.
+        self.stored_bytes = 0
         self._buckets: dict[int, list[str]] = {}
+        self._reservations: Counter[str] = Counter()  # by identifier
 
     def __contains__(self, identifier: str) -> bool:
         return identifier in self.entries
@@ -53,15 +56,40 @@
 
     def add(self, identifier: str, at_s: float, expires_at_s: float, zone: int = -1) -> None:
         """Add an entry for the identifier, or replace its entry; times are in wall clock seconds."""
-        if identifier not in self.entries:
-            self.stored_bytes += len(identifier) + STORED_BYTES_PER_ENTRY
+        if not self._counted(identifier):
+            self.stored_bytes += self._size_bytes(identifier)
         self.entries[identifier] = ExpiringEntry(at_s, zone, expires_at_s)
         self._buckets.setdefault(int(expires_at_s) + 1, []).append(identifier)
 
     def remove(self, identifier: str) -> None:
         """Remove the identifier's entry if there is one."""
-        if self.entries.pop(identifier, None) is not None:
-            self.stored_bytes -= len(identifier) + STORED_BYTES_PER_ENTRY
+        if self.entries.pop(identifier, None) is not None and not self._counted(identifier):
+            self.stored_bytes -= self._size_bytes(identifier)
+
+    def reserve(self, identifier: str) -> None:
+        """Count the identifier in `stored_bytes` until release(), also while it has no entry.
+
+        Reservations of the same identifier are counted: each has to be released.
+        """
+        if not self._counted(identifier):
+            self.stored_bytes += self._size_bytes(identifier)
+        self._reservations[identifier] += 1
+
+    def release(self, identifier: str) -> None:
+        """End one reservation of the identifier."""
+        self._reservations[identifier] -= 1
+        if not self._reservations[identifier]:
+            del self._reservations[identifier]
+        if not self._counted(identifier):
+            self.stored_bytes -= self._size_bytes(identifier)
+
+    def _counted(self, identifier: str) -> bool:
+        """Return whether the identifier is counted in `stored_bytes`."""
+        return identifier in self.entries or identifier in self._reservations
+
+    @staticmethod
+    def _size_bytes(identifier: str) -> int:
+        return len(identifier) + STORED_BYTES_PER_ENTRY
 
     def expire(self, now_s: float) -> None:
         """Remove the entries that have expired; an entry is removed at most one second after its expiry."""
--- a/message_relay/server/journal/file.py
+++ b/message_relay/server/journal/file.py
@@ -23,7 +23,6 @@
 REPLACEMENT_NAME = "messages.journal.new"
 LOCK_NAME = "owner.lock"
 FILE_MODE = 0o600
-BLOCK_BYTES = 512  # the disk limit applies to file sizes rounded up to blocks
 UNSUPPORTED_LOCK_ERRORS = (errno.ENOSYS, errno.ENOLCK, errno.EOPNOTSUPP)  # no file locks on this platform
 WRITE_BYTES = 1 << 16  # of a compacted file, at once
 NOT_OPEN = -1  # descriptor value while the file is not open
@@ -31,11 +30,6 @@
 log = logging.getLogger(__name__)
 
 
-def round_up_to_blocks(size_bytes: int) -> int:
-    """Return the size in bytes, rounded up to a multiple of the block size."""
-    return -(-size_bytes // BLOCK_BYTES) * BLOCK_BYTES
-
-
 class JournalFile:
     """The journal's file; only the process that holds the lock appends to it."""
 
@@ -56,8 +50,7 @@
         accessible.
         """
         self._acquire_lock()
-        with contextlib.suppress(OSError):  # it is created anew, and emptied, by the next compaction
-            self._replacement_path.unlink()
+        self._remove_replacement()
         self._descriptor = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, FILE_MODE)
         size_bytes = os.fstat(self._descriptor).st_size
         self.size_bytes = 0
@@ -106,49 +99,67 @@
     def append(self, data: bytes) -> None:
         """Append data; if that fails, truncate the file to its previous size.
 
-        Raises `JournalFullError` if only a part could be written, `OSError` if the write failed, or if the
-        file could not be truncated after an earlier failure.
+        Raises `OSError` if the write failed, or if the file could not be truncated after an earlier failure.
         """
         if self._incomplete_at_end:
             self._truncate()
         self._incomplete_at_end = True
-        written = 0
         try:
-            written = os.write(self._descriptor, data)
-        finally:
-            if written != len(data):
-                self._truncate()
-        if written != len(data):
-            raise JournalFullError(f"no space left on the disk: wrote {written} of {len(data)} bytes")
+            _write_all(self._descriptor, data)
+        except OSError:
+            self._truncate()
+            raise
         self._incomplete_at_end = False
-        self.size_bytes += written
+        self.size_bytes += len(data)
 
     def _truncate(self) -> None:
         """Remove what was appended incompletely: decoding stops there, and later records would be lost."""
         os.ftruncate(self._descriptor, self.size_bytes)
         self._incomplete_at_end = False
 
-    def replace(self, frames: Iterable[bytes], max_bytes: int) -> None:
-        """Replace the file atomically by a new one with these frames.
+    @property
+    def occupied_bytes(self) -> int:
+        """Size of the file in bytes, with what could not be truncated after a write that failed."""
+        if not self._incomplete_at_end:
+            return self.size_bytes
+        return max(self.size_bytes, os.fstat(self._descriptor).st_size)
+
+    def replace(self, frames: Iterable[bytes], max_bytes: int) -> bool:
+        """Replace the file atomically by a new one with these frames; return whether that succeeded.
 
-        The old file stays in use if the new one would exceed `max_bytes`, or if writing or renaming it fails,
-        which is logged. Raises `OSError` only if the new file can't be created.
+        The old file stays in use if the new one would exceed `max_bytes`, or if creating, writing or renaming
+        it fails, which is logged.
         """
         flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND
-        replacement = os.open(self._replacement_path, flags, FILE_MODE)
+        replacement = NOT_OPEN
         try:
+            replacement = os.open(self._replacement_path, flags, FILE_MODE)
             size_bytes = _write_frames(replacement, frames, max_bytes)
             os.rename(self._replacement_path, self._path)
         except OSError as error:
             log.error("journal: compaction failed, error=%s", error)
-            os.close(replacement)
-            with contextlib.suppress(OSError):
-                self._replacement_path.unlink()
-            return
+            self._discard_replacement(replacement)
+            return False
         os.close(self._descriptor)
         self._descriptor = replacement
         self._incomplete_at_end = False
         self.size_bytes = size_bytes
+        return True
+
+    def _discard_replacement(self, descriptor: int) -> None:
+        """Close and remove a replacement that is not complete."""
+        if descriptor != NOT_OPEN:
+            os.close(descriptor)
+        self._remove_replacement()
+
+    def _remove_replacement(self) -> None:
+        """Remove the replacement, or at least free its space; the next compaction empties it anyway."""
+        try:
+            self._replacement_path.unlink(missing_ok=True)
+        except OSError as error:
+            log.error("journal: replacement not removed, error=%s", error)
+            with contextlib.suppress(OSError):
+                os.truncate(self._replacement_path, 0)
 
     def _acquire_lock(self) -> None:
         descriptor = os.open(self._lock_path, os.O_RDWR | os.O_CREAT, FILE_MODE)
@@ -172,7 +183,7 @@
 def _write_frames(descriptor: int, frames: Iterable[bytes], max_bytes: int) -> int:
     """Write the frames in chunks of about `WRITE_BYTES` and return their size in bytes.
 
-    Raises `JournalFullError` if the size exceeds `max_bytes` or the disk is full, `OSError` if writing fails.
+    Raises `JournalFullError` if the size exceeds `max_bytes`, `OSError` if writing fails.
     """
     chunk, size_bytes = bytearray(), 0
     for frame in frames:
@@ -181,12 +192,14 @@
         if size_bytes > max_bytes:
             raise JournalFullError(f"compacted file exceeds {max_bytes} bytes")
         if len(chunk) >= WRITE_BYTES:
-            _write_chunk(descriptor, chunk)
+            _write_all(descriptor, chunk)
             chunk.clear()
-    _write_chunk(descriptor, chunk)
+    _write_all(descriptor, chunk)
     return size_bytes
 
 
-def _write_chunk(descriptor: int, chunk: bytearray) -> None:
-    if os.write(descriptor, chunk) != len(chunk):
-        raise JournalFullError(f"no space left on the disk: wrote a part of {len(chunk)} bytes")
+def _write_all(descriptor: int, data: bytes | bytearray) -> None:
+    """Write all data; the rest after a short write is written by further calls, which raise `OSError`."""
+    written = 0
+    while written < len(data):
+        written += os.write(descriptor, data[written:])
--- a/message_relay/server/journal/index.py
+++ b/message_relay/server/journal/index.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 
 from message_relay.server import clock
-from message_relay.server.journal.expiring_index import ExpiringIndex
+from message_relay.server.journal.expiring_index import STORED_BYTES_PER_ENTRY, ExpiringIndex
 from message_relay.server.journal.records import (
     AcceptanceRevoked,
     AcceptedMessage,
@@ -23,10 +23,14 @@
 # Time for which the id of a completed message is stored after its deadline, or after the retention time.
 COMPLETED_ID_GRACE_S = 2.0
 KEY_GRACE_S = 2.0  # time for which an idempotency key is stored after its window
-STORED_BYTES_PER_CORDON = 8  # upper bound in a compacted file, without the uid itself
+STORED_BYTES_PER_CORDON = 32  # upper bound in a compacted file, without the uid itself
 STORED_BYTES_BASE = 512  # size of an empty compacted file, rounded up to a block
 
 
+def _cordon_bytes(uid: str) -> int:
+    return len(uid.encode()) + STORED_BYTES_PER_CORDON
+
+
 class JournalIndex:
     """Open messages, pending final answers, cordons, ids of completed messages, and idempotency keys.
 
@@ -42,6 +46,7 @@
         self.open_bytes = 0  # upper bound of the size of all `messages` in a compacted file
         self.last_number = 0  # highest message number that was ever accepted
         self.cordoned: dict[str, None] = {}  # uids, the oldest cordon first
+        self.cordon_bytes = 0  # upper bound of the cordons' size in a compacted file
         self.completed_ids = ExpiringIndex()
         self.idempotency_keys = ExpiringIndex()  # start and zone of the key's first possibly applied attempt
         self._id_retention_s = id_retention_s  # from the completion, if the deadline is earlier
@@ -49,10 +54,24 @@
 
     @property
     def live_bytes(self) -> int:
-        """Upper bound of the size of a compacted file in bytes."""
-        cordon_bytes = sum(len(uid) + STORED_BYTES_PER_CORDON for uid in self.cordoned)
+        """Upper bound of the size of a compacted file in bytes.
+
+        The bound includes what the later records of the stored messages add: no record but a new message or
+        a cordon raises it, see `growth_bytes`.
+        """
         identifier_bytes = self.completed_ids.stored_bytes + self.idempotency_keys.stored_bytes
-        return self.open_bytes + identifier_bytes + cordon_bytes + STORED_BYTES_BASE
+        return self.open_bytes + identifier_bytes + self.cordon_bytes + STORED_BYTES_BASE
+
+    def growth_bytes(self, record: JournalRecord) -> int:
+        """Return by how many bytes, at most, the record will raise `live_bytes` when it is applied."""
+        match record:
+            case MessageAccepted(message):
+                key = message.idempotency_key
+                return message.stored_bytes + (len(key) + STORED_BYTES_PER_ENTRY if key else 0)
+            case EndpointCordonChanged(uid, True):
+                return _cordon_bytes(uid)
+            case _:
+                return 0
 
     def key_applied_at_s(self, key: str) -> float:
         """Return the start of the key's first possibly applied attempt, 0 if none is stored or it expired.
@@ -127,6 +146,7 @@
         self.open_count += 1
         if message.idempotency_key:
             self.open_number_by_key[message.idempotency_key] = message.number
+            self.idempotency_keys.reserve(message.idempotency_key)  # its first attempt stores the key
 
     def _start_attempt(self, record: AttemptStarted) -> None:
         for number in record.numbers:
@@ -176,15 +196,21 @@
         if message.final_status is not None:
             return
         self.open_count -= 1
+        if message.idempotency_key:
+            self.idempotency_keys.release(message.idempotency_key)
         # A newer message with the same key may have replaced this one in the mapping.
         if self.open_number_by_key.get(message.idempotency_key) == message.number:
             del self.open_number_by_key[message.idempotency_key]
 
     def _change_cordon(self, record: EndpointCordonChanged) -> None:
+        if record.cordoned == (record.uid in self.cordoned):
+            return
         if record.cordoned:
             self.cordoned[record.uid] = None
+            self.cordon_bytes += _cordon_bytes(record.uid)
         else:
-            self.cordoned.pop(record.uid, None)
+            del self.cordoned[record.uid]
+            self.cordon_bytes -= _cordon_bytes(record.uid)
 
     def _restore_summary(self, record: JournalSummary) -> None:
         self.last_number = record.last_number
--- a/message_relay/server/journal/journal.py
+++ b/message_relay/server/journal/journal.py
@@ -16,18 +16,22 @@
 `AttemptNotApplied` nor `MessagesCompleted` follows. The endpoint may or may not have executed it, so the
 policy sends the message again only if a repetition is safe.
 
-Compaction replaces the file by one that holds only the current state.
+Compaction replaces the file by one that holds only the current state. A record is written only if a
+compaction stays possible after it, see `disk_budget`.
 """
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import contextlib
+import time
+from collections.abc import Callable, Iterator, Sequence
 from pathlib import Path
 
 from message_relay.server import clock
+from message_relay.server.journal.disk_budget import DiskBudget
 from message_relay.server.journal.errors import JournalFullError
 from message_relay.server.journal.expiring_index import MEMORY_BYTES_PER_ENTRY, ExpiringIndex
-from message_relay.server.journal.file import BLOCK_BYTES, JournalFile, round_up_to_blocks
+from message_relay.server.journal.file import JournalFile
 from message_relay.server.journal.index import JournalIndex
 from message_relay.server.journal.records import (
     UNKNOWN_ZONE,
@@ -46,10 +50,10 @@
     encode_frame,
 )
 
-HEADROOM_SHARE = 1 / 8  # share of the limit left free: close to the limit each record would need a compaction
 EXPIRY_INTERVAL_S = 1.0  # minimum interval between two expiries of ids and keys
 MIN_COMPACTED_BYTES = 1 << 17  # smaller files are compacted only if the disk limit requires it
 COMPACTION_FACTOR = 4  # a file larger than this multiple of its live data is compacted
+COMPACTION_RETRY_INTERVAL_S = 0.1  # after a compaction that failed
 
 
 class Journal:
@@ -59,6 +63,9 @@
     raise `JournalFullError` if the disk limit is reached or the disk is full, `JournalError` if this process
     is not the owner, and `OSError` if the write failed. The record is then neither stored nor applied, except
     for that of completed messages, which is applied.
+
+    Changes that were applied although they could not be written are stored by the next compaction, which is
+    due with the next record.
     """
 
     def __init__(
@@ -68,6 +75,10 @@
         self._file = JournalFile(folder)
         self._index = JournalIndex(key_window_s, id_retention_s)
         self._last_expiry_at_s = 0.0
+        # What the state that a restart would read from the file has more than the state in memory.
+        self._unwritten_reduction_bytes = 0
+        self._unwritten_changes = False
+        self._compaction_allowed_at_s = 0.0  # monotonic clock
 
     # Current state, read-only for callers
 
@@ -170,12 +181,9 @@
     def accept(self, message: AcceptedMessage) -> None:
         """Record that the message is accepted; the journal stores and updates this object from then on."""
         self.expire()  # here too: without open messages nothing else is written, and nothing would expire
-        if not self._fits_limit(message.stored_bytes):
-            raise JournalFullError(
-                f"disk limit: message_bytes={message.stored_bytes} live_bytes={self.live_bytes}"
-                f" limit_bytes={self.limit_bytes}"
-            )
-        self._write(MessageAccepted(message))
+        record = MessageAccepted(message)
+        self._require_permission(self._budget.permits_message, record)
+        self._write(record)
 
     def revoke(self, number: int) -> None:
         """Record that the message is as if it had never been accepted; no attempt may have started."""
@@ -193,13 +201,14 @@
         """Record that the messages are completed: by a response, or because discovery accepted the answer.
 
         If the record cannot be written they are completed in memory all the same, as nothing else ends them;
-        a restart finds them open.
+        a restart before the next compaction finds them open.
         """
         record = MessagesCompleted(numbers, clock.now_s())
         try:
             self._write(record)
         except OSError:
-            self._index.apply(record)
+            with self._unwritten_change():
+                self._index.apply(record)
             raise
 
     def record_final(self, number: int, status: FinalStatus, retry_after_ms: int) -> None:
@@ -208,31 +217,50 @@
 
     def record_cordon(self, uid: str, cordoned: bool) -> None:
         """Record that operators cordoned an endpoint or removed its cordon."""
-        self._write(EndpointCordonChanged(uid, cordoned))
+        record = EndpointCordonChanged(uid, cordoned)
+        if cordoned:
+            self._require_permission(self._budget.permits_cordon, record)
+        self._write(record)
 
     def mark_final(self, message: AcceptedMessage, status: FinalStatus, retry_after_ms: int) -> None:
         """Store the message's final answer in memory only, for use when it could not be recorded."""
-        self._index.mark_final(message, status, retry_after_ms)
+        with self._unwritten_change():
+            self._index.mark_final(message, status, retry_after_ms)
+
+    @contextlib.contextmanager
+    def _unwritten_change(self) -> Iterator[None]:
+        """Note the change that is applied to the index in this context, but not written to the file."""
+        live_bytes = self.live_bytes
+        yield
+        self._unwritten_reduction_bytes += max(0, live_bytes - self.live_bytes)
+        self._unwritten_changes = True
 
     def compact(self) -> None:
-        """Replace the file by one that holds only the current state.
+        """Replace the file by one that holds only the current state; the old one stays if that fails.
 
-        Both files exist until the new one is complete; nothing is done if that would exceed the disk limit.
+        Both files exist until the new one is complete, and together they stay within the disk limit.
         """
         frames = (encode_frame(record.to_stored()) for record in self._index.compacted_records())
-        remaining_bytes = self.limit_bytes - round_up_to_blocks(self._file.size_bytes)
-        self._file.replace(frames, remaining_bytes // BLOCK_BYTES * BLOCK_BYTES)
+        if self._file.replace(frames, self._budget.copy_limit_bytes(self._file.occupied_bytes)):
+            self._unwritten_reduction_bytes = 0
+            self._unwritten_changes = False
+        else:
+            self._compaction_allowed_at_s = time.monotonic() + COMPACTION_RETRY_INTERVAL_S
 
     def _write(self, record: JournalRecord) -> None:
         self._file.require_owned()
         data = encode_frame(record.to_stored())
+        growth_bytes = self._index.growth_bytes(record)
         self.expire()
-        if self._needs_compaction(len(data)):
+        fits = self._leaves_room(len(data), growth_bytes)
+        compaction_due = not fits or self._unwritten_changes or self._exceeds_live_data(len(data))
+        if compaction_due and time.monotonic() >= self._compaction_allowed_at_s:
             self.compact()
-        if round_up_to_blocks(self._file.size_bytes + len(data)) > self.limit_bytes:
+            fits = self._leaves_room(len(data), growth_bytes)
+        if not fits:
             raise JournalFullError(
-                f"disk limit: record_bytes={len(data)} file_bytes={self._file.size_bytes}"
-                f" limit_bytes={self.limit_bytes}"
+                f"disk limit: record_bytes={len(data)} file_bytes={self._file.occupied_bytes}"
+                f" live_bytes={self._restored_live_bytes} limit_bytes={self.limit_bytes}"
             )
         self._file.append(data)
         self._index.apply(record)
@@ -244,19 +272,27 @@
             self._last_expiry_at_s = now_s
             self._index.expire(now_s)
 
-    def _fits_limit(self, additional_bytes: int) -> bool:
-        """Return whether two copies of the live data, with the additional bytes, leave the headroom free.
-
-        A compaction needs both copies at once, within the disk limit.
-        """
-        needed_bytes = 2 * (self.live_bytes + additional_bytes)
-        return round_up_to_blocks(int(needed_bytes + HEADROOM_SHARE * self.limit_bytes)) <= self.limit_bytes
+    @property
+    def _budget(self) -> DiskBudget:
+        return DiskBudget(self.limit_bytes)
 
-    def _needs_compaction(self, additional_bytes: int) -> bool:
-        size_bytes = self._file.size_bytes + additional_bytes
-        live_bytes = self.live_bytes
-        if size_bytes > max(MIN_COMPACTED_BYTES, COMPACTION_FACTOR * live_bytes):
-            return True
-        # The file and its compacted copy together must stay within the limit.
-        both_bytes = round_up_to_blocks(size_bytes) + round_up_to_blocks(live_bytes) + BLOCK_BYTES
-        return both_bytes > self.limit_bytes
+    @property
+    def _restored_live_bytes(self) -> int:
+        """Upper bound of the live data that a restart would find in the file, in bytes."""
+        return self.live_bytes + self._unwritten_reduction_bytes
+
+    def _require_permission(self, permits: Callable[[int], bool], record: JournalRecord) -> None:
+        """Raise JournalFullError unless the live data may grow by this record."""
+        live_bytes = self._restored_live_bytes + self._index.growth_bytes(record)
+        if not permits(live_bytes):
+            raise JournalFullError(f"disk limit: live_bytes={live_bytes} limit_bytes={self.limit_bytes}")
+
+    def _leaves_room(self, record_bytes: int, growth_bytes: int) -> bool:
+        """Return whether a compaction still fits the disk limit after a record of this size."""
+        file_bytes = self._file.occupied_bytes + record_bytes
+        return self._budget.permits_file(file_bytes, self._restored_live_bytes + growth_bytes)
+
+    def _exceeds_live_data(self, record_bytes: int) -> bool:
+        """Return whether most of the file is obsolete."""
+        file_bytes = self._file.occupied_bytes + record_bytes
+        return file_bytes > max(MIN_COMPACTED_BYTES, COMPACTION_FACTOR * self.live_bytes)
