Keep on the call whether its request was written to the last byte

Cause: EndpointCall.time_out asked the connection whether it still carried the request. A response over 64 KiB closes the connection at once and ends the call in the next iteration; a time-out in between found no request and ended the attempt as CONNECT_FAILED, which proves that it never ran.

Change: the call keeps `sent` from the moment at which the last byte was passed to the kernel, and each end of the call asks that. A call whose connection is not established is told by it too.

--- a/message_relay/server/endpoint_calls/call.py
+++ b/message_relay/server/endpoint_calls/call.py
@@ -56,6 +56,7 @@
         "endpoint",
         "headers",
         "health_check",
+        "sent",
         "started_at_s",
         "status",
         "timers",
@@ -72,6 +73,9 @@
         self.started_at_s = owner.loop.time()
         self.deadline_s = self.started_at_s  # time of the loop's clock at which the last attempt times out
         self.connection: HttpConnection | None = None
+        # The last byte of the request was written: the endpoint may execute it, whatever happens to the
+        # connection afterwards.
+        self.sent = False
         self.timers: list[asyncio.TimerHandle] = []
         self.status = 0
         self.headers: dict[str, str] = {}
@@ -96,6 +100,7 @@
 
     def request_written(self) -> None:
         """Report to the observer that the request was written, unless it is a health check."""
+        self.sent = True
         if not self.health_check:
             self._owner.observer.call_written(len(self.attempts))
 
@@ -171,14 +176,13 @@
     def time_out(self) -> None:
         """End all attempts with TIMEOUT, or CONNECT_FAILED if the request was not written to its last byte.
 
-        The connection is closed: a late response on it would be taken for the response to the next call.
+        The connection is closed: a late response on it would be taken for the response to the next call. It
+        may be closed already, by an endless response that is about to be aborted.
         """
-        connection = self.connection
-        written = connection is not None and connection.handler is self and connection.request_written
         if self.health_check:
             self.report_health_check(AttemptResult.TIMEOUT)
         self.abandon()
-        self.end_all(AttemptOutcome(AttemptResult.TIMEOUT if written else AttemptResult.CONNECT_FAILED))
+        self.end_all(AttemptOutcome(AttemptResult.TIMEOUT if self.sent else AttemptResult.CONNECT_FAILED))
 
     def abandon(self) -> None:
         """Close the connection and release the call without reporting an outcome."""
--- a/message_relay/server/endpoint_calls/client.py
+++ b/message_relay/server/endpoint_calls/client.py
@@ -165,10 +165,10 @@
     def _connect_timed_out(self, call: EndpointCall, connection: HttpConnection) -> None:
         """Time out the call if the connection has not been established.
 
-        In that state the connection has no handler and the call no status. A connection whose response is
-        being aborted has no handler either, but its call has a status.
+        In that state the connection has no handler and the request was not sent. A connection whose response
+        is being aborted has no handler either.
         """
-        if connection.handler is None and not call.status:
+        if connection.handler is None and not call.sent:
             call.time_out()
 
     # Time-outs of a call
