Do not take a broken connection for the end of a response

A response with neither a length nor chunked encoding ends with its connection. A read that failed (ECONNRESET, ETIMEDOUT, EHOSTUNREACH) was handled like the end of the stream, so that half of a 400, 429, 503 or 504 proved that the message never ran, and half of a 410 ended it: a message that may not be repeated could run twice, or be dropped.

Change: a read that fails ends the call as lost, which is RESET once the request was written.

--- a/message_relay/server/http/connection.py
+++ b/message_relay/server/http/connection.py
@@ -136,8 +136,9 @@
             data = self.sock.recv(READ_SIZE_BYTES)
         except (BlockingIOError, InterruptedError):
             return
-        except OSError:
-            data = b""
+        except OSError:  # not an end of the stream: a response without a length is not complete
+            self._process_broken_connection()
+            return
         response = self._response
         if response is None:  # end of the stream, or bytes without a request in flight
             self.close()
@@ -149,6 +150,12 @@
         if self._response is not response:
             del response.parser  # breaks the reference cycle, see ResponseParser
 
+    def _process_broken_connection(self) -> None:
+        response = self._response
+        self._close_as_lost()
+        if response is not None:
+            del response.parser
+
     def _process(self, response: ResponseParser, data: bytes) -> None:
         if not response.feed(data):
             self._close_as_malformed()
--- a/tests/test_written_attempts.py
+++ b/tests/test_written_attempts.py
@@ -1,12 +1,14 @@
 """A request that was written whole may have run, however its call ends; only a whole answer disproves it."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
-from loopback import Endpoint
+from loopback import Endpoint, ScriptedServer, read_request
 from test_endpoint_calls import RecordingObserver
 
-from message_relay.model import RESULTS_NOT_APPLIED
+from message_relay.model import RESULTS_NOT_APPLIED, AttemptResult
 from message_relay.server.endpoint_calls import EndpointCall
 
 ENDLESS_RESPONSES = [
@@ -47,3 +49,37 @@
         await endpoint.stop()
 
     asyncio.run(run())
+
+
+class CutEndpoint(ScriptedServer):
+    """Endpoint whose response has no length; it ends the connection properly, or by a reset."""
+
+    def __init__(self, response, reset):
+        super().__init__()
+        self.response, self.reset = response, reset
+
+    async def serve(self, reader, writer):
+        await read_request(reader)
+        writer.write(self.response)
+        await asyncio.sleep(0.02)  # the caller reads it before the connection ends
+        if self.reset:
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+# Guards against a second call of a message that may have run: its response had no length, and a connection
+# that broke was taken for the end of it.
+@pytest.mark.parametrize("status", [400, 410, 429, 503, 504])
+@pytest.mark.parametrize("message_ids", ["a", "ab"])
+def test_a_response_without_a_length_is_not_complete_when_the_connection_breaks(message_ids, status):
+    async def run(reset):
+        endpoint = await CutEndpoint(b"HTTP/1.1 %d x\r\n\r\npart" % status, reset).start()
+        observer = RecordingObserver()
+        results = {outcome.result for _, outcome in await observer.send(endpoint.port, *message_ids)}
+        assert observer.ended.empty()
+        observer.client.close()
+        await endpoint.stop()
+        return results
+
+    assert asyncio.run(run(reset=True)) == {AttemptResult.RESET}
+    assert asyncio.run(run(reset=False)) <= set(RESULTS_NOT_APPLIED)
