Answer each request that was received before its connection is closed

Cause: a destination that is not listed counted as a malformed request, and the third of those closed the connection over the complete requests in its buffer. The same class: requests behind QUIT, requests in the pause after a malformed one when the process exits, and a connection that is closed to make room, as silent or as overdue while received requests wait for the next iteration.

Change: an unlisted destination is answered with the same error, counted as a refusal, and neither pauses nor closes. After the last malformed request, or QUIT, the connection receives nothing more and closes after the replies to what it has received. The exit ends a pause; no close while requests wait.

test_a_client_that_repeats_invalid_requests_is_slowed_and_closed demanded that the request behind the last malformed one is dropped. A request that was read and closed without an answer is lost, so it now demands the answer, and still the errors, the pause and the close.

--- a/message_relay/server/refusal.py
+++ b/message_relay/server/refusal.py
@@ -13,6 +13,7 @@
     MEMORY = "memory"  # for messages, or for requests that are being received
     IDENTIFIERS = "identifiers"  # too many ids of completed messages and idempotency keys are stored
     HANDOVER = "handover"  # another process serves, or is about to
+    DESTINATION = "destination"  # discovery has not listed it
     POLICY = "policy"
     JOURNAL = "journal"  # it could not be recorded
     CLIENT_LEFT = "client_left"  # no client would receive the reply
--- a/message_relay/server/resp/connection.py
+++ b/message_relay/server/resp/connection.py
@@ -26,7 +26,7 @@
 MAX_PIPELINED_REQUESTS = 32
 # Requests of all connections with waiting requests that are handled in one iteration; at least one of each.
 MAX_REQUESTS_PER_ITERATION = 64
-MAX_INVALID_REQUESTS = 3  # of one connection, which is closed after the last
+MAX_INVALID_REQUESTS = 3  # of one connection, which reads nothing after the last
 INVALID_REQUEST_PAUSE_S = 0.1  # of reading, after the first invalid request; doubled after each further one
 REQUEST_TIMEOUT_S = 2.0  # from the first to the last byte of a request; from the connect for the first one
 IDLE_TIMEOUT_S = 3.0  # without an open request, for a connection that has sent a valid one
@@ -51,6 +51,8 @@
         self.pending_replies: list[ReplyHandle] = []  # few; an empty deque is ten times as large
         self.closing = False  # nothing more is read; pending replies are still sent
         self.close_reason = CloseReason.CLIENT_CLOSED  # why it is closing
+        # Set when nothing more is received: the connection closes after the requests that were received.
+        self.final_reason: CloseReason | None = None
         self.closed = False
         self.has_sent_valid_request = False
         self.invalid_requests = 0
@@ -87,11 +89,14 @@
         """
         all_handled = self._handle_some_requests()
         self._update_held_bytes()
-        if all_handled:
+        if not all_handled:
+            self._suspend_reading()
+        elif self.final_reason is not None:
+            self._stop_reading(self.final_reason)
+            self.flush()
+        else:
             self.receiver.all_handled()
             self.reading.resume()
-        else:
-            self._suspend_reading()
 
     def _handle_some_requests(self) -> bool:
         """Handle requests while that is permitted; return whether no complete one is left."""
@@ -169,7 +174,7 @@
         if not request.discarded:
             self.has_sent_valid_request = True
         if not keeps_open:
-            self._stop_reading(CloseReason.QUIT)
+            self._stop_receiving(CloseReason.QUIT)
             reply.send(replies.OK)
         elif not self.pending_replies and not self.closing:
             self.owner.connection_idle(self)
@@ -178,14 +183,15 @@
         return execute(request, reply, self.owner)
 
     def _reject(self, reply: ReplyHandle, error: InvalidRequestError) -> None:
-        """Send an error reply and pause reading, or close the connection after MAX_INVALID_REQUESTS.
+        """Send an error reply and pause reading; after MAX_INVALID_REQUESTS nothing more is received.
 
         Without the pause, a client that repeats an invalid request immediately would delay the other clients.
+        The requests behind it that were received already are answered all the same.
         """
         log.warning("request rejected: reason=%r", str(error))
         self.invalid_requests += 1
         if self.invalid_requests >= MAX_INVALID_REQUESTS:
-            self._stop_reading(CloseReason.INVALID_REQUESTS)
+            self._stop_receiving(CloseReason.INVALID_REQUESTS)
         else:
             pause_s = INVALID_REQUEST_PAUSE_S * 2 ** (self.invalid_requests - 1)
             self.reading.pause_for(pause_s, self._end_read_pause)
@@ -195,7 +201,14 @@
         if not self.closing and not self.owner.paused:
             self.resume()
 
+    def _stop_receiving(self, reason: CloseReason) -> None:
+        """Receive nothing more, and close the connection once the requests in the buffer are answered."""
+        if self.final_reason is None:
+            self.final_reason = reason
+        self.reading.stop()
+
     def _stop_reading(self, reason: CloseReason) -> None:
+        """Handle no further request, and close the connection after the pending replies."""
         self.closing = True
         self.close_reason = reason
         if not self.closed:
@@ -304,13 +317,15 @@
         """Close the connection if its timeout has passed and no request is open.
 
         A client that has not read its replies in that time does not wait for them any more. If a request is
-        partially read, an error reply is sent first. Otherwise the connection stays open while data waits to
-        be read.
+        partially read, an error reply is sent first. Otherwise the connection stays open while requests or
+        data wait.
         """
         if now_s < self.close_at_s or self.pending_replies:
             return
         if self.writer.unsent:
             self.close(CloseReason.REPLIES_NOT_READ)
+        elif self._requests_wait:
+            return
         elif self.reader.mid_request and not self.closing:
             self._stop_reading(CloseReason.REQUEST_TIMEOUT)
             self._add_reply().send(replies.error("request timed out before it was complete"))
@@ -321,11 +336,9 @@
     def close_if_nothing_unread(self, reason: CloseReason) -> bool:
         """Close the connection unless data of the client waits; return whether it was closed.
 
-        The data may wait to be read, or in the buffer for the end of the pause after an invalid request.
+        The data may wait to be read, or to be handled.
         """
-        if self._accepts_requests and has_unread_data(self.sock):
-            return False
-        if self.reading.pause_timer is not None and self.reader.mid_request:
+        if self._requests_wait or (self._accepts_requests and has_unread_data(self.sock)):
             return False
         self.close(reason)
         return True
@@ -355,15 +368,25 @@
         """
         self._handle_all_requests()
         for _ in range(MAX_FINAL_READS):
-            if not self._accepts_requests or not has_unread_data(self.sock) or not self._receive():
+            if self.closing or self.final_reason is not None:
+                return
+            if not has_unread_data(self.sock) or not self._receive():
                 return
             self._handle_all_requests()
 
     def _handle_all_requests(self) -> None:
-        while self._accepts_requests and self._handle_next_request():
+        """Handle the requests in the buffer, without the pause after an invalid one."""
+        while not self.closing and self._handle_next_request():
             pass
+        self.reading.cancel_pause()
         self._update_held_bytes()
 
+    @property
+    def _requests_wait(self) -> bool:
+        """Whether received requests wait to be handled, for an iteration of the event loop or a pause."""
+        waiting = self.reading.suspended or self.reading.pause_timer is not None
+        return waiting and self.reader.mid_request and not self.closing
+
     @property
     def _accepts_requests(self) -> bool:
         return not self.closing and self.reading.pause_timer is None
--- a/message_relay/server/resp/read_control.py
+++ b/message_relay/server/resp/read_control.py
@@ -68,12 +68,19 @@
     def pause_for(self, pause_s: float, action: Callable[[], None]) -> None:
         """Stop reading, and call the action after the pause; it has to suspend or resume the reading."""
         self._loop.remove_reader(self._sock)
+        self.cancel_pause()
         self.pause_timer = self._loop.call_later(pause_s, self._end_pause, action)
 
     def _end_pause(self, action: Callable[[], None]) -> None:
         self.pause_timer = None
         action()
 
+    def cancel_pause(self) -> None:
+        """Cancel the pause if there is one; nothing is read until resume()."""
+        if self.pause_timer is not None:
+            self.pause_timer.cancel()
+            self.pause_timer = None
+
     def stop(self) -> None:
         """Stop reading; a pause and a scheduled action still end."""
         self._loop.remove_reader(self._sock)
@@ -83,9 +90,9 @@
         self.stop()
         self._on_readable = _ignore_event
         self._end_suspension()
-        for handle in (self.pause_timer, self._continuation):
-            if handle is not None:
-                handle.cancel()
+        self.cancel_pause()
+        if self._continuation is not None:
+            self._continuation.cancel()
 
     def _end_suspension(self) -> None:
         self.suspended = False
--- a/message_relay/server/submission.py
+++ b/message_relay/server/submission.py
@@ -114,10 +114,15 @@
         """Submit a client's message to the policy; the reply is sent in the next tick.
 
         Replies at once if the message was accepted before or cannot be accepted now; if it is pending, this
-        submission gets the same reply. Raises InvalidRequestError if its class, tenant, key, lifetime or
-        destination is not valid.
+        submission gets the same reply. Raises InvalidRequestError if its class, tenant, key or lifetime is
+        not valid. A destination that is not listed is no such error: the list may come after its clients.
         """
         message_class, tenant = self._validate(request)
+        if not self._is_listed(request.destination):
+            self._count_refusal(request.message_id, RefusalReason.DESTINATION)
+            text = f"dest: must be a destination listed by discovery, got {request.destination}"
+            reply.send(replies.error(text))
+            return
         if request.message_id in self.pending_ids:
             self.pending[self.pending_ids[request.message_id]].replies.append(reply)
             return
@@ -196,12 +201,12 @@
                 f"d: must be at most {MAX_LIFETIME_DEADLINE_RATIO} times the class deadline"
                 f" of {message_class.deadline_us // 1000} ms, got {request.lifetime_ms} ms"
             )
-        if self._directory.destinations and request.destination not in self._directory.destinations:
-            raise InvalidRequestError(
-                f"dest: must be a destination listed by discovery, got {request.destination}"
-            )
         return class_number, tenant
 
+    def _is_listed(self, destination: int) -> bool:
+        """Return whether discovery has listed the destination; before the first list, any may be."""
+        return not self._directory.destinations or destination in self._directory.destinations
+
     def _new_message(
         self, request: SubmitRequest, message_class: int, tenant: int, waited_s: float
     ) -> AcceptedMessage:
--- /dev/null
+++ b/tests/test_answered_requests.py
@@ -0,0 +1,98 @@
+"""Each complete request that was received is answered, however its connection ends."""
+
+import asyncio
+
+import pytest
+from loopback import Client, bounded, until, with_fleet
+from test_pipelining import allow_open_messages
+
+from message_relay.server.resp import connection
+
+NOPE = Client.command(b"NOPE")
+
+
+# Guards against sound requests that are lost since others before them, for a destination that the list does
+# not name yet, were taken for malformed ones.
+@with_fleet
+async def test_requests_for_an_unlisted_destination_do_not_cost_those_behind_them(fleet):
+    endpoint = await fleet.endpoint("a")
+    client = await fleet.start_relay()
+    requests = [Client.message(f"new{number}", dest=8) for number in range(5)]
+    requests += [Client.message(f"known{number}") for number in range(4)]
+    started_s = asyncio.get_running_loop().time()
+    client.writer.write(b"".join(requests))
+    replies = [await client.line() for _ in requests]
+    assert all(line.startswith("-ERR dest: must be a destination listed") for line in replies[:5])
+    assert replies[5:] == ["+OK"] * 4
+    assert asyncio.get_running_loop().time() - started_s < connection.INVALID_REQUEST_PAUSE_S
+    assert {(await endpoint.call())[1]["x-request-id"] for _ in range(4)} == {f"known{n}" for n in range(4)}
+    await bounded(fleet.discovery.watches.get())
+    assert (await fleet.metrics())['app_refused_total{reason="destination"}'] == 5
+    assert await client.put("later") == "+OK"  # the connection stays open
+    other = await fleet.endpoint("b", dest=8)
+    fleet.discovery.change("b")
+    await until(lambda: 8 in fleet.relay.directory.destinations)
+    assert await client.put("new", dest=8) == "+OK"
+    assert (await other.call())[1]["x-request-id"] == "new"
+
+
+# Guards against requests that were received behind the last invalid one, or behind a QUIT, and got no answer.
+@pytest.mark.parametrize("ending", [[NOPE] * connection.MAX_INVALID_REQUESTS, [Client.command(b"QUIT")]])
+@pytest.mark.parametrize("count", [1, 8, connection.MAX_PIPELINED_REQUESTS + 8])
+def test_requests_that_were_received_behind_the_last_one_are_answered(tmp_path, ending, count):
+    async def run(fleet):
+        await fleet.endpoint("a")
+        allow_open_messages(fleet)
+        client = await fleet.start_relay()
+        client.writer.write(b"".join([*ending, *(Client.message(f"m{n}", body=b"") for n in range(count))]))
+        lines = [await client.line() for _ in range(len(ending) + count)]
+        assert lines[len(ending) :] == ["+OK"] * count
+        assert await bounded(client.reader.read()) == b""  # and then it is closed
+
+    with_fleet(run)(tmp_path)
+
+
+async def send_behind_an_invalid_request(fleet):
+    """Send two messages behind an invalid request; return the client and its connection, in the pause."""
+    await fleet.endpoint("a")
+    client = await fleet.start_relay()
+    client.writer.write(b"".join([NOPE, Client.message("m1"), NOPE, Client.message("m2")]))
+    assert (await client.line()).startswith("-ERR")
+    served = next(iter(fleet.relay.clients.connections))
+    assert served.reading.pause_timer is not None
+    return client, served
+
+
+# Guards against requests that wait for the end of the pause after an invalid one when the process exits.
+@with_fleet
+async def test_requests_that_wait_in_a_pause_are_answered_when_the_process_exits(fleet):
+    client, _ = await send_behind_an_invalid_request(fleet)
+    fleet.relay.lifecycle.shut_down()
+    fleet.relay.lifecycle._exit()
+    fleet.relay.close()
+    lines = [await client.line() for _ in range(3)]
+    assert (lines[0], lines[1][:4], lines[2]) == ("+OK", "-ERR", "+OK")
+    assert set(fleet.relay.journal.numbers_by_id) == {"m1", "m2"}  # a restart continues with them
+
+
+# Guards against a connection that is closed to make room, as silent or as overdue in the iteration between
+# the pause after an invalid request and the requests behind it.
+@with_fleet
+async def test_a_connection_on_which_requests_wait_is_not_closed(fleet):
+    client, served = await send_behind_an_invalid_request(fleet)
+    for _ in range(2):
+        await until(lambda: served.reading.pause_timer is not None)
+        served.reading.pause_timer.cancel()
+        served.reading.pause_timer = None
+        served._end_read_pause()  # the requests are handled in the next iteration
+        served.has_sent_valid_request = False
+        assert not fleet.relay.clients._evict_connection()
+        served.close_at_s = fleet.relay.clients.loop.time()
+        fleet.relay.clients.table.max_connections = 0  # each silent connection is one too many
+        fleet.relay.clients.table.sweep(served.close_at_s + 10.0)
+        assert not served.closing
+        fleet.relay.clients.table.max_connections = 100
+        if served.invalid_requests == 1:
+            assert await client.line() == "+OK"
+    lines = [await client.line() for _ in range(2)]
+    assert (lines[0][:4], lines[1]) == ("-ERR", "+OK")
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -98,9 +98,10 @@
     started_s = time.monotonic()
     client.writer.write(command(b"NOPE") * connection.MAX_INVALID_REQUESTS + command(b"PING"))
     replies = (await bounded(client.reader.read())).split(b"\r\n")
-    assert len(replies) == connection.MAX_INVALID_REQUESTS + 1 and all(
-        line.startswith(b"-ERR") for line in replies[:-1]
+    assert len(replies) == connection.MAX_INVALID_REQUESTS + 2 and all(
+        line.startswith(b"-ERR") for line in replies[: connection.MAX_INVALID_REQUESTS]
     )
+    assert replies[connection.MAX_INVALID_REQUESTS :] == [b"+PONG", b""]  # received before the close
     assert time.monotonic() - started_s >= connection.INVALID_REQUEST_PAUSE_S
 
 
