Answer a request although its execution failed

An exception other than InvalidRequestError while a request was executed left its reply pending for ever. Replies are sent in order, so no later request on the connection was answered either, and the connection was never closed as idle or overdue.

Change: the request is answered with an internal error, and the exception is logged.

Evidence: test_a_request_whose_execution_fails_is_answered failed before (no line within its bound) and passes now. No such exception is known; the test provokes one.

--- a/message_relay/server/resp/connection.py
+++ b/message_relay/server/resp/connection.py
@@ -171,6 +171,10 @@
         except InvalidRequestError as error:
             self._reject(reply, error)
             return
+        except Exception:  # without a reply, the replies behind it would never be sent
+            log.exception("executing a request failed")
+            reply.send(replies.INTERNAL_ERROR)
+            return
         if not request.discarded:
             self.has_sent_valid_request = True
         if not keeps_open:
--- a/tests/test_answered_requests.py
+++ b/tests/test_answered_requests.py
@@ -96,3 +96,22 @@
             assert await client.line() == "+OK"
     lines = [await client.line() for _ in range(2)]
     assert (lines[0][:4], lines[1]) == ("-ERR", "+OK")
+
+
+# Guards against a request whose execution fails, and against those behind it, that never get an answer.
+@with_fleet
+async def test_a_request_whose_execution_fails_is_answered(fleet):
+    await fleet.endpoint("a")
+    client = await fleet.start_relay()
+    served = next(iter(fleet.relay.clients.connections))
+    execute, failures = served._execute, [RuntimeError("cannot be executed")]
+
+    def execute_or_fail(*args):
+        if failures:
+            raise failures.pop()
+        return execute(*args)
+
+    served._execute = execute_or_fail
+    client.writer.write(Client.message("m1") + Client.message("m2"))
+    assert [await client.line() for _ in range(2)] == ["-ERR internal error", "+OK"]
+    assert await client.put("m3") == "+OK"
