Keep client connections when the kernel lacks memory for a moment

Either was taken for a broken connection, which was closed over requests that were open.

Change: these errors say nothing about the connection, so the read or write is tried again, like one that was interrupted or would block.

Evidence: test_a_read_or_write_that_fails_for_a_moment_is_tried_again failed in 4 of 8 forms before (both errors, both directions; EINTR and EAGAIN were right) and passes now.

--- a/message_relay/server/resp/receiver.py
+++ b/message_relay/server/resp/receiver.py
@@ -7,7 +7,7 @@
 import socket
 
 from message_relay.server.resp.reader import RequestReader
-from message_relay.server.resp.socket_state import was_reset
+from message_relay.server.resp.socket_state import TRANSIENT_ERRORS, was_reset
 
 # Data in the kernel is received in the next iteration of the event loop, unless reading is suspended. What
 # comes later than this after a receive was not there before.
@@ -52,10 +52,8 @@
         wanted_bytes = self.reader.wanted_bytes
         try:
             received_bytes = self._sock.recv_into(buffer, wanted_bytes)
-        except (BlockingIOError, InterruptedError):
-            return Received.NOTHING
-        except OSError:
-            return Received.FAILURE
+        except OSError as error:
+            return Received.NOTHING if error.errno in TRANSIENT_ERRORS else Received.FAILURE
         if not received_bytes:
             return Received.END
         if was_reset(self._sock):  # nobody would receive the replies to what was sent before
--- a/message_relay/server/resp/socket_state.py
+++ b/message_relay/server/resp/socket_state.py
@@ -1,10 +1,13 @@
-"""What the kernel knows of a socket's peer, without reading from the socket."""
+"""What the kernel knows of a socket's peer, without reading from the socket, and what its errors mean."""
 
 from __future__ import annotations
 
+import errno
 import select
 import socket
 
+# Errors of a read or write that say nothing about the connection: it is tried again.
+TRANSIENT_ERRORS = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
 PEER_STOPPED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
--- a/message_relay/server/resp/socket_writer.py
+++ b/message_relay/server/resp/socket_writer.py
@@ -6,6 +6,8 @@
 import socket
 from collections.abc import Callable
 
+from message_relay.server.resp.socket_state import TRANSIENT_ERRORS
+
 MAX_UNSENT_BYTES = 1 << 16  # buffered replies of a client that does not read them
 
 
@@ -35,11 +37,11 @@
         """Send as many of the unsent bytes as the socket accepts."""
         try:
             sent_bytes = self.sock.send(self.unsent)
-        except (BlockingIOError, InterruptedError):
+        except OSError as error:
+            if error.errno not in TRANSIENT_ERRORS:
+                self.on_failure()
+                return
             sent_bytes = 0
-        except OSError:
-            self.on_failure()
-            return
         self.unsent = self.unsent[sent_bytes:]
         if len(self.unsent) > MAX_UNSENT_BYTES:
             self.on_failure()
--- a/tests/test_answered_requests.py
+++ b/tests/test_answered_requests.py
@@ -1,6 +1,8 @@
 """Each complete request that was received is answered, however its connection ends."""
 
 import asyncio
+import errno
+import os
 
 import pytest
 from loopback import Client, bounded, until, with_fleet
@@ -115,3 +117,44 @@
     client.writer.write(Client.message("m1") + Client.message("m2"))
     assert [await client.line() for _ in range(2)] == ["-ERR internal error", "+OK"]
     assert await client.put("m3") == "+OK"
+
+
+class ScarceSocket:
+    """A socket whose next `failures` reads or writes fail with an error that does not concern its peer."""
+
+    def __init__(self, sock, error_number, failures=3):
+        self.sock, self.error_number, self.failures = sock, error_number, failures
+
+    def __getattr__(self, name):
+        return getattr(self.sock, name)
+
+    def _fail(self):
+        if self.failures:
+            self.failures -= 1
+            raise OSError(self.error_number, os.strerror(self.error_number))
+
+    def recv_into(self, *args):
+        self._fail()
+        return self.sock.recv_into(*args)
+
+    def send(self, data):
+        self._fail()
+        return self.sock.send(data)
+
+
+# Guards against connections that are closed over open requests since the kernel lacked memory for a moment.
+@pytest.mark.parametrize("error_number", [errno.ENOBUFS, errno.ENOMEM, errno.EINTR, errno.EAGAIN])
+@pytest.mark.parametrize("part", ["receiver", "writer"])
+def test_a_read_or_write_that_fails_for_a_moment_is_tried_again(tmp_path, part, error_number):
+    async def run(fleet):
+        await fleet.endpoint("a")
+        client = await fleet.start_relay()
+        served = next(iter(fleet.relay.clients.connections))
+        attribute = {"receiver": "_sock", "writer": "sock"}[part]
+        scarce = ScarceSocket(served.sock, error_number)
+        setattr(getattr(served, part), attribute, scarce)
+        client.writer.write(Client.message("m1") + Client.message("m2"))
+        assert [await client.line() for _ in range(2)] == ["+OK"] * 2
+        assert not scarce.failures and not served.closed
+
+    with_fleet(run)(tmp_path)
