--- a/message_relay/server/journal/disk_budget.py
+++ b/message_relay/server/journal/disk_budget.py
@@ -45,6 +45,11 @@
         """Return whether a file of this size leaves room for its compacted copy."""
         return round_up_to_blocks(file_bytes) + round_up_to_blocks(live_bytes) <= self.limit_bytes
 
+    def max_file_bytes(self, live_bytes: int) -> int:
+        """Return how large a file may be so that its compacted copy fits beside it."""
+        whole_blocks_bytes = self.limit_bytes // BLOCK_BYTES * BLOCK_BYTES
+        return max(0, whole_blocks_bytes - round_up_to_blocks(live_bytes))
+
     def copy_limit_bytes(self, file_bytes: int) -> int:
         """Return how large a second file may be beside a file of this size; 0 if there is no room."""
         free_bytes = max(0, self.limit_bytes - round_up_to_blocks(file_bytes))
--- a/message_relay/server/journal/file.py
+++ b/message_relay/server/journal/file.py
@@ -13,11 +13,20 @@
 import fcntl
 import logging
 import os
-from collections.abc import Callable, Iterable
+from collections import deque
+from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 
 from message_relay.server.journal.errors import JournalError, JournalFullError, JournalLockedError
-from message_relay.server.journal.records import StoredValues, read_frames
+from message_relay.server.journal.frames import Frame, FrameMark, StoredValues, scan_frames
+from message_relay.server.journal.relocation import (
+    JournalReader,
+    Part,
+    capacity_bytes,
+    read_segments,
+    relocate,
+    select_end,
+)
 
 FILE_NAME = "messages.journal"
 REPLACEMENT_NAME = "messages.journal.new"
@@ -35,6 +44,7 @@
 
     def __init__(self, folder: Path) -> None:
         self.size_bytes = 0
+        self.relocated = False  # the file has relocated parts: it has to be replaced before it is appended to
         self._path = folder / FILE_NAME
         self._replacement_path = folder / REPLACEMENT_NAME
         self._lock_path = folder / LOCK_NAME
@@ -45,22 +55,22 @@
     def acquire(self, on_record: Callable[[StoredValues], None]) -> None:
         """Lock and open the file, and pass the stored values of each record to `on_record`.
 
-        An incomplete record at the end, which an interrupted write left behind, is removed from the file.
-        Raises `JournalLockedError` if another process holds the lock, `OSError` if the file is not
-        accessible.
+        An incomplete record at the end, which an interrupted write left behind, is removed from the file, as
+        is the end of a file that was relocated. Raises `JournalLockedError` if another process holds the
+        lock, `OSError` if the file is not accessible.
         """
         self._acquire_lock()
         self._remove_replacement()
         self._descriptor = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, FILE_MODE)
         size_bytes = os.fstat(self._descriptor).st_size
-        self.size_bytes = 0
         with self._path.open("rb") as file:
-            for values, end in read_frames(file, size_bytes):
+            reader = JournalReader(file, size_bytes)
+            for values in reader.records():
                 on_record(values)
-                self.size_bytes = end
+        self.size_bytes, self.relocated = reader.end, reader.relocated
         if self.size_bytes < size_bytes:
             removed_bytes = size_bytes - self.size_bytes
-            log.warning("journal: incomplete record at the end removed, bytes=%d", removed_bytes)
+            log.warning("journal: incomplete end of the file removed, bytes=%d", removed_bytes)
             self._incomplete_at_end = True
             try:
                 self._truncate()
@@ -101,6 +111,8 @@
 
         Raises `OSError` if the write failed, or if the file could not be truncated after an earlier failure.
         """
+        if self.relocated:
+            raise JournalError("the end of the journal's file was relocated, and it is not compacted yet")
         if self._incomplete_at_end:
             self._truncate()
         self._incomplete_at_end = True
@@ -142,10 +154,64 @@
             return False
         os.close(self._descriptor)
         self._descriptor = replacement
-        self._incomplete_at_end = False
+        self._incomplete_at_end = self.relocated = False
         self.size_bytes = size_bytes
         return True
 
+    def frames(self) -> Iterator[Frame]:
+        """Yield the frames of the file, without the records of relocated parts."""
+        with self._path.open("rb") as file:
+            yield from scan_frames(file, self.size_bytes)
+
+    def shorten(self, max_bytes: int, obsolete: Iterable[Frame], summary: bytes) -> None:
+        """Relocate the end of the file into obsolete frames until the file has at most `max_bytes`.
+
+        obsolete: in the order of their offsets; summary: frame with what is lost with them. The file may stay
+        longer if the frames do not suffice, or if a system call fails, which is logged.
+        """
+        try:
+            if self._incomplete_at_end:
+                self._truncate()
+            descriptor = os.open(self._path, os.O_RDWR)  # with O_APPEND, writes ignore their offset
+            try:
+                self._relocate(descriptor, max_bytes, deque(obsolete), summary)
+            finally:
+                os.close(descriptor)
+        except OSError as error:
+            log.error("journal: end of the file not relocated, error=%s", error)
+
+    def _relocate(self, descriptor: int, max_bytes: int, obsolete: deque[Frame], summary: bytes) -> None:
+        # A relocated frame is not relocated itself.
+        min_bytes = max(
+            (frame.end for frame in self.frames() if frame.mark is FrameMark.RELOCATED), default=0
+        )
+        if not self.relocated and obsolete:
+            self.relocated = True
+            min_bytes = self._store_summary(descriptor, obsolete, summary)
+        while obsolete and self.size_bytes > max(min_bytes, max_bytes):
+            target = obsolete.popleft()
+            min_bytes = max(min_bytes, target.end)
+            size_bytes, segments = select_end(self.size_bytes, max(min_bytes, max_bytes), target, obsolete)
+            if segments:
+                relocate(descriptor, target, Part(size_bytes, read_segments(descriptor, segments)))
+            self.size_bytes = size_bytes
+            self._incomplete_at_end = True
+            self._truncate()
+
+    def _store_summary(self, descriptor: int, obsolete: deque[Frame], summary: bytes) -> int:
+        """Store the summary behind the end of the file; return the offset behind the frames that it takes."""
+        min_bytes, remaining_bytes = 0, len(summary)
+        while obsolete and remaining_bytes:
+            target = obsolete.popleft()
+            part_bytes = min(remaining_bytes, capacity_bytes(target))
+            if part_bytes <= 0:
+                continue
+            remaining_bytes -= part_bytes
+            data = summary[remaining_bytes : remaining_bytes + part_bytes]
+            relocate(descriptor, target, Part(self.size_bytes + remaining_bytes, data))
+            min_bytes = target.end
+        return min_bytes
+
     def _discard_replacement(self, descriptor: int) -> None:
         """Close and remove a replacement that is not complete."""
         if descriptor != NOT_OPEN:
--- a/message_relay/server/journal/index.py
+++ b/message_relay/server/journal/index.py
@@ -123,6 +123,14 @@
 
     def compacted_records(self) -> Iterator[JournalRecord]:
         """Yield the records of a compacted file in their order: summary, cordons, messages."""
+        yield self.summary()
+        for uid in self.cordoned:
+            yield EndpointCordonChanged(uid, True)
+        for message in self.messages.values():
+            yield MessageAccepted(message)
+
+    def summary(self) -> JournalSummary:
+        """Return the record that holds the ids of completed messages and the idempotency keys."""
         completed_ids = {
             identifier: entry.expires_at_s for identifier, entry in self.completed_ids.entries.items()
         }
@@ -130,11 +138,7 @@
             identifier: (entry.at_s, entry.zone)
             for identifier, entry in self.idempotency_keys.entries.items()
         }
-        yield JournalSummary(self.last_number, completed_ids, keys)
-        for uid in self.cordoned:
-            yield EndpointCordonChanged(uid, True)
-        for message in self.messages.values():
-            yield MessageAccepted(message)
+        return JournalSummary(self.last_number, completed_ids, keys)
 
     def _add_message(self, message: AcceptedMessage) -> None:
         self.messages[message.number] = message
@@ -213,7 +217,7 @@
             self.cordon_bytes -= _cordon_bytes(record.uid)
 
     def _restore_summary(self, record: JournalSummary) -> None:
-        self.last_number = record.last_number
+        self.last_number = max(self.last_number, record.last_number)
         for message_id, expires_at_s in record.completed_ids.items():
             self.completed_ids.add(message_id, expires_at_s, expires_at_s)
         for key, (at_s, zone) in record.idempotency_keys.items():
--- a/message_relay/server/journal/journal.py
+++ b/message_relay/server/journal/journal.py
@@ -32,6 +32,13 @@
 from message_relay.server.journal.errors import JournalFullError
 from message_relay.server.journal.expiring_index import MEMORY_BYTES_PER_ENTRY, ExpiringIndex
 from message_relay.server.journal.file import JournalFile
+from message_relay.server.journal.frames import (
+    Frame,
+    FrameMark,
+    StoredValues,
+    decode_values,
+    encode_frame,
+)
 from message_relay.server.journal.index import JournalIndex
 from message_relay.server.journal.records import (
     UNKNOWN_ZONE,
@@ -45,9 +52,7 @@
     JournalRecord,
     MessageAccepted,
     MessagesCompleted,
-    StoredValues,
     decode_record,
-    encode_frame,
 )
 
 EXPIRY_INTERVAL_S = 1.0  # minimum interval between two expiries of ids and keys
@@ -238,8 +243,13 @@
     def compact(self) -> None:
         """Replace the file by one that holds only the current state; the old one stays if that fails.
 
-        Both files exist until the new one is complete, and together they stay within the disk limit.
+        Both files exist until the new one is complete, and together they stay within the disk limit. A file
+        that leaves no room for the new one, from an earlier build or a higher limit, is shortened first.
         """
+        max_file_bytes = self._budget.max_file_bytes(self.live_bytes)
+        if self._file.occupied_bytes > max_file_bytes:
+            summary = encode_frame(self._index.summary().to_stored())
+            self._file.shorten(max_file_bytes, self._obsolete_frames(), summary)
         frames = (encode_frame(record.to_stored()) for record in self._index.compacted_records())
         if self._file.replace(frames, self._budget.copy_limit_bytes(self._file.occupied_bytes)):
             self._unwritten_reduction_bytes = 0
@@ -247,6 +257,21 @@
         else:
             self._compaction_allowed_at_s = time.monotonic() + COMPACTION_RETRY_INTERVAL_S
 
+    def _obsolete_frames(self) -> Iterator[Frame]:
+        """Yield the frames of the file whose records can be missing, without their payloads.
+
+        Those are the accepted messages that are completed; their ids and keys are in the summary.
+        """
+        for frame in self._file.frames():
+            if self._is_obsolete(frame):
+                yield frame._replace(payload=b"")
+
+    def _is_obsolete(self, frame: Frame) -> bool:
+        if frame.mark is not FrameMark.RECORD:
+            return frame.mark is FrameMark.OBSOLETE
+        record = decode_record(decode_values(frame.payload))
+        return isinstance(record, MessageAccepted) and record.message.number not in self.messages
+
     def _write(self, record: JournalRecord) -> None:
         self._file.require_owned()
         data = encode_frame(record.to_stored())
@@ -288,7 +313,9 @@
             raise JournalFullError(f"disk limit: live_bytes={live_bytes} limit_bytes={self.limit_bytes}")
 
     def _leaves_room(self, record_bytes: int, growth_bytes: int) -> bool:
-        """Return whether a compaction still fits the disk limit after a record of this size."""
+        """Return whether a record of this size may be appended: a compaction still fits the disk limit."""
+        if self._file.relocated:
+            return False
         file_bytes = self._file.occupied_bytes + record_bytes
         return self._budget.permits_file(file_bytes, self._restored_live_bytes + growth_bytes)
 
--- a/message_relay/server/journal/records.py
+++ b/message_relay/server/journal/records.py
@@ -1,21 +1,18 @@
-"""The journal's records: their types, their stored form and their framing in the file.
+"""The journal's records: their types and their stored form.
 
-A record is stored as a MessagePack list whose first value is its record code. Each list is framed by its
-length and its checksum. Lists written by older builds may have fewer values and are still readable.
+A record is stored as a MessagePack list whose first value is its record code. Lists written by older builds
+may have fewer values and are still readable.
 """
 
 from __future__ import annotations
 
 import enum
-import struct
-import zlib
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import Any, BinaryIO, NamedTuple
+from typing import Any, NamedTuple
 
-import msgpack
+from message_relay.server.journal.frames import StoredValues
 
-FRAME_HEADER = struct.Struct(">II")  # payload length in bytes, CRC-32 of the payload
 RESERVED_BYTES_PER_MESSAGE = 160  # counted for the other fields and for the message's later records
 UNKNOWN_ZONE = -1
 ZONE_POSITION = 3  # index of the zone in a stored attempt; older builds did not store a zone
@@ -29,8 +26,6 @@
 ACCEPTANCE_REVOKED = "revoked"
 SUMMARY = "known"
 
-StoredValues = list[Any]  # record code and values, as packed by MessagePack
-
 
 class FinalStatus(enum.Enum):
     """The final answer that a notice reports to discovery; the values are stored and sent."""
@@ -300,26 +295,3 @@
     """Return the record that the values were stored from, None if this build does not define its code."""
     decoder = DECODERS.get(values[0])
     return decoder(values) if decoder is not None else None
-
-
-def encode_frame(values: StoredValues) -> bytes:
-    """Pack the values of one record and prefix them with their length and checksum."""
-    payload = msgpack.packb(values)
-    return bytes(FRAME_HEADER.pack(len(payload), zlib.crc32(payload)) + payload)
-
-
-def read_frames(file: BinaryIO, size_bytes: int) -> Iterator[tuple[StoredValues, int]]:
-    """Yield the values of each valid record at the start of a file, and the offset where it ends.
-
-    Ends at the first frame that is incomplete or has a wrong checksum. One record at a time is in memory.
-    """
-    offset = 0
-    while offset + FRAME_HEADER.size <= size_bytes:
-        payload_bytes, checksum = FRAME_HEADER.unpack(file.read(FRAME_HEADER.size))
-        offset += FRAME_HEADER.size + payload_bytes
-        if not payload_bytes or offset > size_bytes:
-            return
-        payload = file.read(payload_bytes)
-        if zlib.crc32(payload) != checksum:
-            return
-        yield msgpack.unpackb(payload), offset
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -6,7 +6,8 @@
 import pytest
 
 from message_relay.server.journal import AcceptedMessage, Journal, JournalFullError
-from message_relay.server.journal.records import MessageAccepted, encode_frame
+from message_relay.server.journal.frames import encode_frame
+from message_relay.server.journal.records import MessageAccepted
 
 
 def test_a_journal_without_zones_is_read(tmp_path):
