Let a close over unread data wait for the replies before it

At the exit of the process, or behind the last malformed request, a client that still sends has unread data in the kernel. A close then resets the connection, and replies that the client's kernel has not acknowledged yet are lost with it: many small replies in one iteration exceed the congestion window. The requests were received, handled and got no answer.

Change: such a close waits until the replies are acknowledged (TIOCOUTQ), 0.2 s at most. The exit of the process blocks for that time, which is within its shutdown period.

--- a/message_relay/server/lifecycle.py
+++ b/message_relay/server/lifecycle.py
@@ -176,4 +176,5 @@
         self._clients.read_pending()
         if self._submissions.pending:  # a complete request is answered before its connection is closed
             self.run_tick()
+        self._clients.wait_for_acknowledgements()
         self.closed.set_result(None)
--- a/message_relay/server/resp/connection.py
+++ b/message_relay/server/resp/connection.py
@@ -19,7 +19,12 @@
 from message_relay.server.resp.reader import ProtocolError, RawRequest
 from message_relay.server.resp.receiver import Received, RequestReceiver
 from message_relay.server.resp.reply_handle import ReplyHandle
-from message_relay.server.resp.socket_state import has_unread_data, peer_stopped_sending, was_reset
+from message_relay.server.resp.socket_state import (
+    has_unread_data,
+    peer_stopped_sending,
+    unacknowledged_bytes,
+    was_reset,
+)
 from message_relay.server.resp.socket_writer import MAX_UNSENT_BYTES, SocketWriter
 
 # Requests of one connection that may be open at once, or handled in one iteration of the event loop.
@@ -32,6 +37,10 @@
 IDLE_TIMEOUT_S = 3.0  # without an open request, for a connection that has sent a valid one
 # A connection without a valid request that is older than this is silent: it is closed first at the limit.
 SILENT_CONNECTION_AGE_S = 0.25
+# A close over unread data resets the connection, and replies that are not acknowledged are lost with it: it
+# waits for them so long at most.
+ACKNOWLEDGEMENT_TIMEOUT_S = 0.2
+ACKNOWLEDGEMENT_CHECK_INTERVAL_S = 0.01
 # Reads of each connection before the process exits, of 4 KiB or the rest of a long argument: more than the
 # longest request.
 MAX_FINAL_READS = 48
@@ -53,6 +62,7 @@
         self.close_reason = CloseReason.CLIENT_CLOSED  # why it is closing
         # Set when nothing more is received: the connection closes after the requests that were received.
         self.final_reason: CloseReason | None = None
+        self._close_by_s = 0.0  # latest time for a close that waits for the client to receive its replies
         self.closed = False
         self.has_sent_valid_request = False
         self.invalid_requests = 0
@@ -245,8 +255,21 @@
             self.owner.connection_idle(self)
         self._restart_timeout(self.loop.time())
         if self.closing and not self.writer.unsent and self.check_connected():
+            self._close_after_replies()
+
+    def _close_after_replies(self) -> None:
+        """Close the connection once the client has received its replies, or after a short time."""
+        now_s = self.loop.time()
+        self._close_by_s = self._close_by_s or now_s + ACKNOWLEDGEMENT_TIMEOUT_S
+        if self.close_would_drop_replies() and now_s < self._close_by_s:
+            self.loop.call_later(ACKNOWLEDGEMENT_CHECK_INTERVAL_S, self.flush)
+        else:
             self.close(self.close_reason)
 
+    def close_would_drop_replies(self) -> bool:
+        """Return whether a close now would reset the connection before its replies are received."""
+        return not self.closed and unacknowledged_bytes(self.sock) > 0 and has_unread_data(self.sock)
+
     def check_connected(self) -> bool:
         """Return whether replies can be sent; close the connection if it was reset."""
         if not self.closed and was_reset(self.sock):
--- a/message_relay/server/resp/server.py
+++ b/message_relay/server/resp/server.py
@@ -7,6 +7,7 @@
 import errno
 import logging
 import socket
+import time
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -14,7 +15,11 @@
 from message_relay.server.log_output import LogThrottle
 from message_relay.server.resp.close_reason import CloseReason
 from message_relay.server.resp.commands import SubmitRequest
-from message_relay.server.resp.connection import ClientConnection
+from message_relay.server.resp.connection import (
+    ACKNOWLEDGEMENT_CHECK_INTERVAL_S,
+    ACKNOWLEDGEMENT_TIMEOUT_S,
+    ClientConnection,
+)
 from message_relay.server.resp.connection_table import ConnectionTable
 from message_relay.server.resp.read_control import ReadControl
 from message_relay.server.resp.reader import MAX_READ_BYTES
@@ -134,6 +139,17 @@
         for connection in list(self.connections):
             connection.read_pending()
 
+    def wait_for_acknowledgements(self) -> None:
+        """Block until the clients have received the replies that a close would drop, or a short time is over.
+
+        Called before the process exits, when nothing else is left to do.
+        """
+        end_s = self.loop.time() + ACKNOWLEDGEMENT_TIMEOUT_S
+        while self.loop.time() < end_s and any(
+            connection.close_would_drop_replies() for connection in self.connections
+        ):
+            time.sleep(ACKNOWLEDGEMENT_CHECK_INTERVAL_S)
+
     def stop_listening(self) -> None:
         """Close the listening socket; open connections stay open."""
         if self.listening_socket is not None:
--- a/message_relay/server/resp/socket_state.py
+++ b/message_relay/server/resp/socket_state.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import select
 import socket
+import struct
+import termios
 
 # Errors of a read or write that say nothing about the connection: it is tried again.
 TRANSIENT_ERRORS = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
@@ -41,3 +44,12 @@
         return any(event & PEER_STOPPED_EVENTS for _, event in poll.poll(0))
     except OSError:
         return False
+
+
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many bytes the peer's kernel has not acknowledged yet, 0 if that is not known."""
+    try:
+        answer = fcntl.ioctl(sock, termios.TIOCOUTQ, struct.pack("i", 0))
+    except OSError:
+        return 0
+    return int(struct.unpack("i", answer)[0])
--- a/tests/test_answered_requests.py
+++ b/tests/test_answered_requests.py
@@ -1,14 +1,20 @@
 """Each complete request that was received is answered, however its connection ends."""
 
 import asyncio
+import contextlib
 import errno
+import itertools
 import os
+import random
+import socket
+from collections import Counter
 
 import pytest
 from loopback import Client, bounded, until, with_fleet
 from test_pipelining import allow_open_messages
 
 from message_relay.server.resp import connection
+from message_relay.server.resp.reader import RequestReader
 
 NOPE = Client.command(b"NOPE")
 
@@ -158,3 +164,88 @@
         assert not scarce.failures and not served.closed
 
     with_fleet(run)(tmp_path)
+
+
+# Guards against any mixture of requests, pieces and ends in which a complete request gets no answer. With seed
+# 63, replies that the client's kernel had not acknowledged were dropped by a close over unread data.
+@pytest.mark.parametrize("seed", [*range(8), 63])
+def test_each_request_of_a_random_history_is_answered_in_order(tmp_path, monkeypatch, seed):
+    chance, received_bytes, feed = random.Random(seed), Counter(), RequestReader.feed
+
+    def counting_feed(reader, data):
+        received_bytes[reader] += len(data)
+        feed(reader, data)
+
+    monkeypatch.setattr(RequestReader, "feed", counting_feed)
+
+    def random_request(number):
+        kind = chance.choices(["message", "ping", "unlisted", "invalid", "quit"], [6, 4, 2, 1, 0.3])[0]
+        if kind == "message":
+            return Client.message(f"m{number}", body=b"x" * chance.choice([0, 20, 3_000])), ("+OK", "-BUSY")
+        if kind == "ping":
+            return Client.command(b"PING"), ("+PONG", "-ERR ending")
+        if kind == "unlisted":
+            return Client.message(f"u{number}", dest=99), ("-ERR dest",)
+        if kind == "invalid":
+            return NOPE, ("-ERR unknown command",)
+        return Client.command(b"QUIT"), ("+OK",)
+
+    async def send(sock, data):
+        with contextlib.suppress(OSError):
+            while data:
+                size = chance.choice([1, 100, 5_000, 50_000])
+                await asyncio.get_running_loop().sock_sendall(sock, data[:size])
+                data = data[size:]
+                if chance.random() < 0.2:
+                    await asyncio.sleep(chance.choice([0.0, 0.05, 0.15]))
+            if chance.random() < 0.5:
+                sock.shutdown(socket.SHUT_WR)
+
+    async def receive(sock, count):
+        """Return the answers that arrive before the end of the connection, at most `count`."""
+        data = b""
+        with contextlib.suppress(ConnectionError):
+            while data.count(b"\r\n") < count:
+                received = await bounded(asyncio.get_running_loop().sock_recv(sock, 65_536))
+                if not received:
+                    break
+                data += received
+        return data.decode().split("\r\n")[:-1]
+
+    async def talk(sock, reader, client_number):
+        """Send the requests and check the answers; return whether all were received and answered."""
+        requests = [random_request(f"{client_number}-{n}") for n in range(chance.randint(1, 60))]
+        sending = asyncio.create_task(send(sock, b"".join(request for request, _ in requests)))
+        answers = await receive(sock, len(requests))
+        await sending
+        sock.close()
+        ends = itertools.accumulate(len(request) for request, _ in requests)
+        received = sum(end <= received_bytes[reader] for end in ends)
+        assert len(answers) == received, (client_number, len(requests))
+        for answer, (request, expected) in zip(answers, requests, strict=False):
+            assert answer.startswith(expected), (client_number, request, answer)
+        return received == len(requests)
+
+    async def run(fleet):
+        await fleet.endpoint("a")
+        kept = await fleet.start_relay()
+        socks = [socket.create_connection(("127.0.0.1", fleet.relay_port())) for _ in range(8)]
+        for sock in socks:
+            sock.setblocking(False)
+        connections = fleet.relay.clients.connections
+        await until(lambda: len(connections) == len(socks) + 1)
+        readers = {served.sock.getpeername(): served.reader for served in connections}
+        talks = [
+            asyncio.create_task(talk(sock, readers[sock.getsockname()], number))
+            for number, sock in enumerate(socks)
+        ]
+        if seed % 2:
+            await asyncio.sleep(chance.uniform(0.05, 0.4))
+            fleet.relay.lifecycle.shut_down()
+            fleet.relay.lifecycle._stop_accepting()
+            fleet.relay.lifecycle._exit()
+            fleet.relay.close()
+        assert any(await asyncio.gather(*talks))
+        kept.writer.close()
+
+    with_fleet(run)(tmp_path)
