--- a/tests/test_answered_requests.py
+++ b/tests/test_answered_requests.py
@@ -166,8 +166,8 @@
     with_fleet(run)(tmp_path)
 
 
-# Guards against any mixture of requests, pieces and ends in which a complete request gets no answer. With seed
-# 63, replies that the client's kernel had not acknowledged were dropped by a close over unread data.
+# Guards against any mixture of requests, pieces and ends in which a complete request gets no answer. With
+# seed 63, replies that the client's kernel had not acknowledged were dropped by a close over unread data.
 @pytest.mark.parametrize("seed", [*range(8), 63])
 def test_each_request_of_a_random_history_is_answered_in_order(tmp_path, monkeypatch, seed):
     chance, received_bytes, feed = random.Random(seed), Counter(), RequestReader.feed
